--- /dev/null
+++ b/bhtree/tree.go
@@ -0,0 +1,115 @@
+// Package bhtree runs a daemon's parts as a supervisor tree on oklog/run.
+package bhtree
+
+import (
+	"context"
+	"time"
+
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhlog"
+)
+
+// Restart policy of children added with AddRestarted.
+const (
+	restartBackoff    = 100 * time.Millisecond
+	restartBackoffMax = 5 * time.Second
+	restartLimit      = 8
+	restartWindow     = time.Minute
+)
+
+// Run is the body of a child. It returns when ctx is done; any earlier return
+// is a failure of the child.
+type Run func(ctx context.Context) error
+
+// Tree is one supervisor. When any child ends, the others are stopped and
+// awaited. A Tree is itself a Run through its method Run, so trees nest.
+type Tree struct {
+	name   string
+	logger bhlog.Logger
+	group  run.Group
+}
+
+// Config configures a Tree.
+type Config struct {
+	Name   string
+	Logger bhlog.Logger
+}
+
+// New returns an empty tree.
+func New(config Config) *Tree {
+	return &Tree{name: config.Name, logger: bhlog.With(config.Logger, "tree", config.Name)}
+}
+
+// Add adds a child whose end stops the tree.
+func (t *Tree) Add(name string, child Run) {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.group.Add(func() error {
+		err := child(ctx)
+		bhlog.Trace(t.logger, "child.end", "child", name, "err", err)
+		return errors.Wrap(err, name)
+	}, func(error) { cancel() })
+}
+
+// AddRestarted adds a child that is restarted with exponential backoff when it
+// ends early. Too many restarts within a minute stop the tree.
+func (t *Tree) AddRestarted(name string, child Run) {
+	t.Add(name, func(ctx context.Context) error { return t.restart(ctx, name, child) })
+}
+
+// Run runs all children until ctx is done or one of them ends. It returns nil
+// if ctx was done first.
+func (t *Tree) Run(ctx context.Context) error {
+	t.Add("context", func(inner context.Context) error {
+		select {
+		case <-ctx.Done():
+		case <-inner.Done():
+		}
+		return nil
+	})
+	err := t.group.Run()
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+func (t *Tree) restart(ctx context.Context, name string, child Run) error {
+	backoff := restartBackoff
+	var recent []time.Time
+	for {
+		err := child(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		recent = within(append(recent, time.Now()), restartWindow)
+		if len(recent) > restartLimit {
+			return errors.Wrapf(err, "%s ended %d times within %s", name, len(recent), restartWindow)
+		}
+		bhlog.Problem(t.logger, "child.restart", err, "child", name, "backoff", backoff)
+		if !sleep(ctx, backoff) {
+			return nil
+		}
+		backoff = min(2*backoff, restartBackoffMax)
+	}
+}
+
+func within(times []time.Time, window time.Duration) []time.Time {
+	limit := times[len(times)-1].Add(-window)
+	for len(times) > 0 && times[0].Before(limit) {
+		times = times[1:]
+	}
+	return times
+}
+
+func sleep(ctx context.Context, wait time.Duration) bool {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
