--- a/bhconf/parse.go
+++ b/bhconf/parse.go
@@ -58,16 +58,6 @@
 	return problems
 }
 
-// Canonical returns the one JSON form of the configuration: the same
-// configuration always gives the same bytes.
-func (c Config) Canonical() ([]byte, error) {
-	data, err := json.MarshalIndent(c, "", "  ")
-	if err != nil {
-		return nil, errors.Wrap(err, "configuration")
-	}
-	return append(data, '\n'), nil
-}
-
 func decode(data []byte, target any) error {
 	decoder := json.NewDecoder(bytes.NewReader(data))
 	decoder.DisallowUnknownFields()
--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -67,6 +67,15 @@
 	Version int64 `json:"version"`
 }
 
+// Have says which configuration is in force at the sender.
+type Have struct {
+	// Number of the probe answered; 0 if none was.
+	Count uint64 `json:"count"`
+
+	// Version in force; 0 for none.
+	Version int64 `json:"version"`
+}
+
 // Load is the state of one upstream as its sidecar sees it.
 type Load struct {
 	// Prefix block hashes that entered the cache since the last beat.
@@ -133,6 +142,12 @@
 	Version string `json:"version"`
 }
 
+// Probe asks a peer for proof of contact. The peer answers with Have.
+type Probe struct {
+	// Number of this probe within the session, from 1.
+	Count uint64 `json:"count"`
+}
+
 // Revoke names key digests that no host may accept any more.
 type Revoke struct {
 	// Digests of revoked keys.
