--- a/bhcmd/root.go
+++ b/bhcmd/root.go
@@ -33,7 +33,7 @@
 
 // NewRoot returns the root command.
 func NewRoot(factory *Factory) *cli.Command {
-	return &cli.Command{
+	root := &cli.Command{
 		Name:                  "baobab",
 		Usage:                 "serve online and batch inference on one fleet",
 		Version:               Version,
@@ -41,7 +41,13 @@
 		Writer:                factory.Streams.Out,
 		ErrWriter:             factory.Streams.Err,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
+		Commands: []*cli.Command{
+			NewStand(factory),
+			NewVersion(factory),
+		},
 	}
+	reportUsage(root)
+	return root
 }
 
 func exitCode(err error) int {
