Serve live requests end to end over separate processes

Ruled out: HTTP between entry and sidecar (no cancel, credit or explicit 'not run' of our own); one connection for control and live frames (a large answer would hold up heartbeats). Before: no path.

--- a/bhcmd/root.go
+++ b/bhcmd/root.go
@@ -42,7 +42,9 @@
 		ErrWriter:             factory.Streams.Err,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
-			NewLoad(factory),
+			NewDev(factory),
+			NewEntry(factory),
+			NewSidecar(factory),
 			NewStand(factory),
 			NewVersion(factory),
 		},
--- /dev/null
+++ b/bhentry/dispatch.go
@@ -0,0 +1,144 @@
+package bhentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+// maxAttempts bounds the upstreams that one request is sent to.
+const maxAttempts = 4
+
+// answer takes in what an upstream sends for one request. It is used by one
+// attempt at a time.
+type answer interface {
+	// begin prepares for an attempt and returns the body to send. The error
+	// ends the request.
+	begin() ([]byte, error)
+	// head takes the status and headers of the answer.
+	head(bhwire.Head) error
+	// data takes the next bytes of the answer.
+	data([]byte) error
+	// end takes the answer's orderly end and reports whether it is whole.
+	end() error
+	// resumable reports whether another attempt can follow what was taken.
+	resumable() bool
+}
+
+// dispatch leads the request to upstreams until one gives a whole answer, the
+// attempts are used up or another attempt isn't allowed.
+func (e *Entry) dispatch(ctx context.Context, submit bhwire.Submit, answer answer) error {
+	exclude := make(map[string]bool)
+	var last error
+	for submit.Attempt = 1; submit.Attempt <= maxAttempts; submit.Attempt++ {
+		target, ok := e.fleet.pick(want{group: submit.Group, model: submit.Model, exclude: exclude}, submit.ID)
+		if !ok {
+			return orElse(last, bhcode.New(bhcode.NoUpstream, "").WithRetryAfter(time.Second))
+		}
+		submit.Upstream = target.upstream
+		last = e.attempt(ctx, target, submit, answer)
+		if last == nil {
+			return nil
+		}
+		if cause := revocation(ctx); cause != nil {
+			return cause
+		}
+		if ctx.Err() != nil || !mayRetry(last, submit.Idempotent, answer) {
+			return last
+		}
+		exclude[target.upstream] = true
+		bhlog.Event(e.logger, "request.retry", "id", submit.ID, "attempt", submit.Attempt, "upstream", target.upstream, "err", last)
+	}
+	return last
+}
+
+// revocation returns the reason why ctx was ended before its time, or nil.
+func revocation(ctx context.Context) error {
+	var failure *bhcode.Error
+	if errors.As(context.Cause(ctx), &failure) {
+		return failure.WithRan(bhcode.RanUnknown)
+	}
+	return nil
+}
+
+func orElse(err error, other error) error {
+	if err != nil {
+		return err
+	}
+	return other
+}
+
+// mayRetry allows another attempt only if the failed one certainly did not
+// run or the request is idempotent, and if the caller has nothing that another
+// answer would contradict.
+func mayRetry(err error, idempotent bool, answer answer) bool {
+	failure := bhcode.From(err)
+	switch failure.Code {
+	case bhcode.Cancelled, bhcode.RunTimeout, bhcode.QueueTimeout, bhcode.BadRequest, bhcode.Internal:
+		return false
+	}
+	if !answer.resumable() {
+		return false
+	}
+	return failure.Ran == bhcode.RanNo || idempotent
+}
+
+// attempt sends the request to one upstream and leads its answer on.
+func (e *Entry) attempt(ctx context.Context, target target, submit bhwire.Submit, answer answer) error {
+	body, err := answer.begin()
+	if err != nil {
+		return err
+	}
+	submit.Body = body
+	submit.Window = window
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return errors.New("request without deadline")
+	}
+	submit.Timeout = time.Until(deadline)
+	call, err := target.link.submit(ctx, submit)
+	if err != nil {
+		return err
+	}
+	defer call.close()
+	for {
+		frame, err := call.receive(ctx)
+		if err != nil {
+			return err
+		}
+		done, err := lead(frame, answer)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+// lead gives one frame to the answer and reports whether it was the last.
+func lead(frame bhwire.Frame, answer answer) (bool, error) {
+	switch frame.Kind {
+	case bhwire.KindHead:
+		head, err := bhwire.Decode[bhwire.Head](frame)
+		if err != nil {
+			return true, err
+		}
+		return false, answer.head(head)
+	case bhwire.KindData:
+		return false, answer.data(frame.Body)
+	case bhwire.KindEnd:
+		end, err := bhwire.Decode[bhwire.End](frame)
+		if err != nil {
+			return true, err
+		}
+		if end.Code == int(bhcode.OK) {
+			return true, answer.end()
+		}
+		failure := bhcode.New(bhcode.Code(end.Code), "%s", end.Message)
+		return true, failure.WithRan(bhcode.Ran(end.Ran)).WithRetryAfter(end.Retry)
+	}
+	return false, nil
+}
--- /dev/null
+++ b/bhentry/entry.go
@@ -0,0 +1,212 @@
+// Package bhentry is the daemon that callers reach: it authenticates them,
+// keeps client accounts within their share and leads requests to upstreams.
+package bhentry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhdrain"
+	"github.com/baobabhaven/baobabhaven/bhkey"
+	"github.com/baobabhaven/baobabhaven/bhlink"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhmesh"
+	"github.com/baobabhaven/baobabhaven/bhmetric"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhsync"
+	"github.com/baobabhaven/baobabhaven/bhtree"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 2 * time.Minute
+	maxHeaderBytes    = 64 << 10
+)
+
+// Config configures an Entry.
+type Config struct {
+	Settings bhconf.Settings
+	Logger   bhlog.Logger
+	Metrics  *bhmetric.Metrics
+	Platform bhplatform.Platform
+	// Incarnation numbers this start of the process.
+	Incarnation uint64
+}
+
+// Entry is the daemon.
+type Entry struct {
+	config   Config
+	logger   bhlog.Logger
+	mesh     *bhmesh.Mesh
+	store    *bhsync.Store
+	running  *bhsync.Running
+	follower *follower
+	fleet    *fleet
+	limiter  Limiter
+	guard    *bhkey.Guard
+	metrics  requestMetrics
+	inflight bhdrain.Inflight
+	server   *http.Server
+}
+
+// New returns an entry that isn't running yet.
+func New(config Config) *Entry {
+	logger := bhlog.With(config.Logger, "role", "entry", "host", config.Settings.Host)
+	e := &Entry{config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope)}
+	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
+	e.store = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
+	e.running = bhsync.NewRunning(e.store)
+	e.follower = newFollower(config.Platform.Table, e.mesh, e.store, logger)
+	e.fleet = newFleet(fleetConfig{Self: config.Settings.Host, Link: e.linkConfig(), Mesh: e.mesh, Hosts: config.Platform.Hosts, Logger: logger})
+	e.guard = bhkey.NewGuard(bhkey.GuardConfig{})
+	e.limiter = newLocalLimiter(e.store)
+	return e
+}
+
+// Run serves until ctx is done, then stops gracefully: it takes no new
+// connections, finishes the requests in flight within the drain bound, and
+// closes its sessions.
+func (e *Entry) Run(ctx context.Context) error {
+	settings := e.config.Settings
+	listeners, err := listen(settings.Listen, settings.Link, settings.Admin)
+	if err != nil {
+		return err
+	}
+	serving, stop := context.WithCancel(context.Background())
+	defer stop()
+	e.server = newServer(serving, e.callersHandler())
+	tree := bhtree.New(bhtree.Config{Name: "entry", Logger: e.logger})
+	tree.Add("callers", serve(e.server, listeners[0]))
+	tree.Add("link", serve(newServer(serving, http.HandlerFunc(e.accept)), listeners[1]))
+	tree.Add("admin", serve(newServer(serving, e.adminHandler()), listeners[2]))
+	tree.AddRestarted("follower", e.follower.run)
+	tree.AddRestarted("running", e.running.Run)
+	tree.AddRestarted("fleet", e.fleet.run)
+	tree.AddRestarted("announce", e.announce)
+	tree.Add("drain", func(inner context.Context) error {
+		select {
+		case <-ctx.Done():
+			e.drain()
+			stop()
+		case <-inner.Done():
+		}
+		return nil
+	})
+	bhlog.Event(e.logger, "entry.serving", "listen", listeners[0].Addr(), "incarnation", e.config.Incarnation)
+	return tree.Run(serving)
+}
+
+// drain finishes the requests in flight within the drain bound.
+func (e *Entry) drain() {
+	bhlog.Event(e.logger, "entry.leaving", "inflight", e.inflight.Count())
+	bound := time.Duration(e.config.Settings.Drain)
+	if bound == 0 {
+		bound = bhconf.DefaultDrain
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	defer cancel()
+	err := e.server.Shutdown(ctx)
+	_ = e.mesh.Close()
+	bhlog.Event(e.logger, "entry.drained", "whole", err == nil)
+}
+
+func (e *Entry) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", e.config.Metrics.Handler())
+	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
+		if e.store.Current() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if !e.fleet.covers(e.store.Current()) {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// announce keeps this host's entry in the platform's host list.
+func (e *Entry) announce(ctx context.Context) error {
+	settings := e.config.Settings
+	host := bhplatform.Host{
+		Name:   settings.Host,
+		Role:   string(bhconf.RoleEntry),
+		Link:   settings.Link,
+		Centre: settings.Centre,
+		State:  bhplatform.HostLive,
+	}
+	return bhplatform.KeepAnnounced(ctx, e.config.Platform.Hosts, func() bhplatform.Host { return host }, e.logger)
+}
+
+// accept runs a control session with another entry.
+func (e *Entry) accept(w http.ResponseWriter, r *http.Request) {
+	session, err := bhlink.Accept(w, r, e.linkConfig())
+	if err != nil {
+		bhlog.Problem(e.logger, "link.refused", err, "source", r.RemoteAddr)
+		return
+	}
+	if session.Peer.Class != bhlink.ClassControl {
+		_ = session.Close()
+		return
+	}
+	err = e.mesh.Serve(r.Context(), session)
+	bhlog.Trace(e.logger, "link.end", "peer", session.Peer.Host, "err", err)
+}
+
+func (e *Entry) linkConfig() bhlink.Config {
+	settings := e.config.Settings
+	return bhlink.Config{
+		Self: bhwire.Hello{
+			Host:        settings.Host,
+			Role:        string(bhconf.RoleEntry),
+			Centre:      settings.Centre,
+			Incarnation: e.config.Incarnation,
+		},
+		Secrets: settings.Secrets,
+	}
+}
+
+func listen(addresses ...string) ([]net.Listener, error) {
+	var listeners []net.Listener
+	for _, address := range addresses {
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			for _, open := range listeners {
+				_ = open.Close()
+			}
+			return nil, errors.Wrap(err, "listening")
+		}
+		listeners = append(listeners, listener)
+	}
+	return listeners, nil
+}
+
+func newServer(ctx context.Context, handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+}
+
+func serve(server *http.Server, listener net.Listener) bhtree.Run {
+	return func(ctx context.Context) error {
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		err := server.Serve(listener)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return errors.Wrap(err, "serving")
+		}
+		<-ctx.Done()
+		return nil
+	}
+}
--- /dev/null
+++ b/bhentry/fleet.go
@@ -0,0 +1,236 @@
+package bhentry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhlink"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhmesh"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhsync"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+const (
+	hostsInterval  = 2 * time.Second
+	redialInterval = 300 * time.Millisecond
+	// beatTimeout is the silence after which a sidecar gets no new work.
+	beatTimeout = 2 * time.Second
+)
+
+type fleetConfig struct {
+	Self   string
+	Link   bhlink.Config
+	Mesh   *bhmesh.Mesh
+	Hosts  bhplatform.Hosts
+	Logger bhlog.Logger
+}
+
+// fleet knows the sidecars, keeps sessions with them and chooses upstreams.
+type fleet struct {
+	config fleetConfig
+
+	mu       sync.Mutex
+	known    map[string]context.CancelFunc
+	address  map[string]string
+	sidecars map[string]*sidecar
+	tasks    sync.WaitGroup
+}
+
+// sidecar is what this entry knows of one sidecar.
+type sidecar struct {
+	host        string
+	centre      string
+	incarnation uint64
+	leaving     bool
+	heard       time.Time
+	loads       map[string]bhwire.Load
+	live        *liveLink
+}
+
+func newFleet(config fleetConfig) *fleet {
+	f := &fleet{
+		config:   config,
+		known:    make(map[string]context.CancelFunc),
+		address:  make(map[string]string),
+		sidecars: make(map[string]*sidecar),
+	}
+	config.Mesh.Handle(bhwire.KindBeat, f.takeBeat)
+	return f
+}
+
+// run follows the host list, which introduces hosts, until ctx is done.
+func (f *fleet) run(ctx context.Context) error {
+	defer f.tasks.Wait()
+	ticker := time.NewTicker(hostsInterval)
+	defer ticker.Stop()
+	for {
+		hosts, err := f.config.Hosts.Hosts(ctx)
+		if err != nil && ctx.Err() == nil {
+			bhlog.Problem(f.config.Logger, "hosts.failed", err)
+		}
+		for _, host := range hosts {
+			f.introduce(ctx, host)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// introduce starts the sessions with a host that wasn't known at this address.
+func (f *fleet) introduce(ctx context.Context, host bhplatform.Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if host.Name == f.config.Self || f.address[host.Name] == host.Link {
+		return
+	}
+	if cancel := f.known[host.Name]; cancel != nil {
+		cancel()
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	f.known[host.Name] = cancel
+	f.address[host.Name] = host.Link
+	bhlog.Event(f.config.Logger, "host.introduced", "peer", host.Name, "peer_role", host.Role, "link", host.Link)
+	switch bhconf.Role(host.Role) {
+	case bhconf.RoleSidecar:
+		f.tasks.Go(func() { f.config.Mesh.Dial(ctx, host.Link) })
+		f.tasks.Go(func() { f.keepLive(ctx, host) })
+	case bhconf.RoleEntry:
+		if f.config.Self < host.Name {
+			f.tasks.Go(func() { f.config.Mesh.Dial(ctx, host.Link) })
+		}
+	}
+}
+
+// keepLive keeps the live session with a sidecar until ctx is done.
+func (f *fleet) keepLive(ctx context.Context, host bhplatform.Host) {
+	for ctx.Err() == nil {
+		session, err := bhlink.Dial(ctx, host.Link, bhlink.ClassLive, f.config.Link)
+		if err == nil {
+			link := newLiveLink(session, f.config.Logger)
+			f.attach(host, link)
+			err = link.run(ctx)
+			f.detach(host.Name, link)
+		}
+		bhlog.Trace(f.config.Logger, "live.redial", "peer", host.Name, "err", err)
+		select {
+		case <-ctx.Done():
+		case <-time.After(redialInterval):
+		}
+	}
+}
+
+func (f *fleet) attach(host bhplatform.Host, link *liveLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.sidecar(host.Name).live = link
+	f.sidecar(host.Name).centre = host.Centre
+}
+
+func (f *fleet) detach(host string, link *liveLink) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if s := f.sidecar(host); s.live == link {
+		s.live = nil
+	}
+}
+
+func (f *fleet) sidecar(host string) *sidecar {
+	s := f.sidecars[host]
+	if s == nil {
+		s = &sidecar{host: host, loads: make(map[string]bhwire.Load)}
+		f.sidecars[host] = s
+	}
+	return s
+}
+
+func (f *fleet) takeBeat(peer bhwire.Hello, frame bhwire.Frame) error {
+	beat, err := bhwire.Decode[bhwire.Beat](frame)
+	if err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sidecar(peer.Host)
+	if peer.Incarnation < s.incarnation {
+		return nil
+	}
+	if peer.Incarnation > s.incarnation || beat.Count == 1 {
+		clear(s.loads)
+	}
+	s.incarnation = peer.Incarnation
+	s.heard = time.Now()
+	if beat.Leaving && !s.leaving {
+		bhlog.Event(f.config.Logger, "sidecar.leaving", "peer", peer.Host)
+	}
+	s.leaving = beat.Leaving
+	for _, load := range beat.Loads {
+		s.loads[load.Upstream] = load
+	}
+	return nil
+}
+
+// target is an upstream that a request can be sent to.
+type target struct {
+	host     string
+	upstream string
+	link     *liveLink
+}
+
+// want says what an upstream must offer.
+type want struct {
+	group   string
+	model   string
+	exclude map[string]bool
+}
+
+// pick chooses the serving upstream with the least work for each slot.
+func (f *fleet) pick(want want, id string) (target, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var best target
+	var bestCost float64
+	alternatives := 0
+	for _, s := range f.sidecars {
+		if s.live == nil || s.leaving || time.Since(s.heard) > beatTimeout {
+			continue
+		}
+		for _, load := range s.loads {
+			if load.Group != want.group || !load.Serving || want.exclude[load.Upstream] {
+				continue
+			}
+			alternatives++
+			cost := float64(load.Running+load.Queued+s.live.count(load.Upstream)) / float64(max(load.Slots, 1))
+			if best.link == nil || cost < bestCost {
+				best, bestCost = target{host: s.host, upstream: load.Upstream, link: s.live}, cost
+			}
+		}
+	}
+	bhlog.Decision(f.config.Logger, "route", best.upstream, "least_requests", alternatives, "id", id, "group", want.group)
+	return best, best.link != nil
+}
+
+// covers reports whether every upstream that should serve can be reached.
+func (f *fleet) covers(snapshot *bhsync.Snapshot) bool {
+	if snapshot == nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, declared := range snapshot.Config.Upstreams {
+		s := f.sidecars[declared.Host]
+		if declared.State == bhconf.StateLeave {
+			continue
+		}
+		if s == nil || s.live == nil || !s.loads[declared.Name].Serving {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/bhentry/metric.go
@@ -0,0 +1,40 @@
+package bhentry
+
+import (
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+)
+
+// requestMetrics counts requests by result code.
+type requestMetrics struct {
+	scope   tally.Scope
+	latency tally.Timer
+	codes   *sync.Map
+}
+
+func newRequestMetrics(scope tally.Scope) requestMetrics {
+	return requestMetrics{scope: scope, latency: scope.Timer("request_seconds"), codes: &sync.Map{}}
+}
+
+func (m requestMetrics) done(err error, elapsed time.Duration) {
+	m.latency.Record(elapsed)
+	code := bhcode.OK
+	if err != nil {
+		code = asFailure(err).Code
+	}
+	m.counter(code).Inc(1)
+}
+
+func (m requestMetrics) counter(code bhcode.Code) tally.Counter {
+	if counter, ok := m.codes.Load(code); ok {
+		return counter.(tally.Counter)
+	}
+	counter := m.scope.Tagged(map[string]string{"code": strconv.Itoa(int(code))}).Counter("requests")
+	m.codes.Store(code, counter)
+	return counter
+}
--- a/bhlink/session.go
+++ b/bhlink/session.go
@@ -53,7 +53,10 @@
 	buffer []byte
 	ctx    context.Context
 	cancel context.CancelFunc
-	writer sync.WaitGroup
+	// closing asks the writer to send what is queued and to end the session.
+	closing   chan struct{}
+	closeOnce sync.Once
+	writer    sync.WaitGroup
 }
 
 // Dial opens a session of the given class to the process at address, an IP
@@ -109,6 +112,8 @@
 		queue:  make(chan bhwire.Frame, size),
 		ctx:    ctx,
 		cancel: cancel,
+
+		closing: make(chan struct{}),
 	}
 	s.writer.Go(s.write)
 	return s
@@ -166,13 +171,17 @@
 	return frame, nil
 }
 
-// Close ends the session and waits for its writer.
+// Close sends the frames that are queued, ends the session and waits for its
+// writer. Frames sent concurrently with Close may be lost.
 func (s *Session) Close() error {
-	s.cancel()
+	s.closeOnce.Do(func() { close(s.closing) })
 	s.writer.Wait()
 	return nil
 }
 
+// Abort ends the session at once. It doesn't wait.
+func (s *Session) Abort() { s.cancel() }
+
 // write sends queued frames, packing those that wait into one message, and
 // closes the connection when the session ends.
 func (s *Session) write() {
@@ -183,6 +192,9 @@
 		select {
 		case <-s.ctx.Done():
 			return
+		case <-s.closing:
+			s.flush(buf)
+			return
 		case frame := <-s.queue:
 			data, err := s.pack(buf[:0], frame)
 			if err != nil {
@@ -196,6 +208,25 @@
 	}
 }
 
+// flush sends what is queued and closes the connection in order.
+func (s *Session) flush(buf []byte) {
+	for {
+		select {
+		case frame := <-s.queue:
+			data, err := s.pack(buf[:0], frame)
+			if err != nil {
+				return
+			}
+			if err := s.writeMessage(data); err != nil {
+				return
+			}
+		default:
+			_ = s.conn.Close(websocket.StatusNormalClosure, "")
+			return
+		}
+	}
+}
+
 func (s *Session) pack(buf []byte, frame bhwire.Frame) ([]byte, error) {
 	buf, err := bhwire.AppendFrame(buf, frame)
 	for err == nil && len(buf) < coalesceBytes {
--- /dev/null
+++ b/bhsidecar/live.go
@@ -0,0 +1,96 @@
+package bhsidecar
+
+import (
+	"context"
+	"sync"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhlink"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+// liveSession runs the requests that one entry submits.
+type liveSession struct {
+	sidecar *Sidecar
+	link    *bhlink.Session
+
+	mu      sync.Mutex
+	streams map[uint64]*stream
+	running sync.WaitGroup
+}
+
+func newLiveSession(sidecar *Sidecar, link *bhlink.Session) *liveSession {
+	return &liveSession{sidecar: sidecar, link: link, streams: make(map[uint64]*stream)}
+}
+
+// run handles frames until the session ends, then cancels its streams: their
+// entry can no longer receive the answers.
+func (l *liveSession) run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer l.running.Wait()
+	defer cancel()
+	for {
+		frame, err := l.link.Receive(ctx)
+		if err != nil {
+			return err
+		}
+		if err := l.handle(ctx, frame); err != nil {
+			return err
+		}
+	}
+}
+
+func (l *liveSession) handle(ctx context.Context, frame bhwire.Frame) error {
+	switch frame.Kind {
+	case bhwire.KindSubmit:
+		return l.submit(ctx, frame)
+	case bhwire.KindCredit:
+		credit, err := bhwire.Decode[bhwire.Credit](frame)
+		if err != nil {
+			return err
+		}
+		if stream := l.find(frame.Stream); stream != nil {
+			stream.credit.add(credit.Bytes)
+		}
+	case bhwire.KindCancel:
+		if stream := l.find(frame.Stream); stream != nil {
+			stream.cancel()
+		}
+	}
+	return nil
+}
+
+func (l *liveSession) submit(ctx context.Context, frame bhwire.Frame) error {
+	submit, err := bhwire.Decode[bhwire.Submit](frame)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, exists := l.streams[frame.Stream]; exists {
+		return bhcode.New(bhcode.FrameInvalid, "stream %d submitted twice", frame.Stream)
+	}
+	stream := newStream(l, frame.Stream, submit)
+	ctx, stream.cancel = context.WithTimeout(ctx, submit.Timeout)
+	l.streams[frame.Stream] = stream
+	l.sidecar.streams.Add()
+	l.running.Go(func() {
+		defer l.sidecar.streams.Done()
+		defer l.forget(frame.Stream)
+		defer stream.cancel()
+		stream.run(ctx)
+	})
+	return nil
+}
+
+func (l *liveSession) find(id uint64) *stream {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.streams[id]
+}
+
+func (l *liveSession) forget(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.streams, id)
+}
--- /dev/null
+++ b/bhsidecar/upstream.go
@@ -0,0 +1,210 @@
+package bhsidecar
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhsync"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+const (
+	dialTimeout     = time.Second
+	idleConnections = 256
+	idleTimeout     = 30 * time.Second
+)
+
+// upstream is one back end of this host.
+type upstream struct {
+	config    bhconf.Upstream
+	models    []string
+	admission *admission
+	// kept reuses connections; fresh opens one for each request, so that the
+	// transport has no reason to send a request again.
+	kept  *http.Transport
+	fresh *http.Transport
+}
+
+func newUpstream(config bhconf.Upstream) *upstream {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &upstream{
+		config:    config,
+		admission: newAdmission(config.Slots),
+		kept: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idleConnections,
+			IdleConnTimeout:     idleTimeout,
+			DisableCompression:  true,
+		},
+		fresh: &http.Transport{
+			DialContext:        dialer.DialContext,
+			DisableKeepAlives:  true,
+			DisableCompression: true,
+		},
+	}
+}
+
+// send starts the request. Its errors say whether the request ran: "no" only
+// if no connection was made.
+func (u *upstream) send(ctx context.Context, submit bhwire.Submit) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	request, err := u.request(httptrace.WithClientTrace(ctx, trace), submit)
+	if err != nil {
+		return nil, bhcode.Wrap(err, bhcode.BadRequest, "request for the upstream")
+	}
+	transport := u.fresh
+	if submit.Idempotent {
+		transport = u.kept
+	}
+	response, err := transport.RoundTrip(request)
+	if err == nil {
+		return response, nil
+	}
+	if !connected.Load() {
+		return nil, bhcode.Wrap(err, bhcode.NoUpstream, "no connection to the upstream")
+	}
+	return nil, bhcode.Wrap(err, bhcode.UpstreamFailed, "no answer from the upstream").WithRan(bhcode.RanUnknown)
+}
+
+func (u *upstream) request(ctx context.Context, submit bhwire.Submit) (*http.Request, error) {
+	target := "http://" + u.config.Address + submit.Path
+	if submit.Query != "" {
+		target += "?" + submit.Query
+	}
+	request, err := http.NewRequestWithContext(ctx, submit.Method, target, body(submit.Body))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	request.GetBody = nil
+	request.ContentLength = int64(len(submit.Body))
+	if submit.Header != nil {
+		request.Header = submit.Header.Clone()
+	}
+	return request, nil
+}
+
+func (u *upstream) load(leaving bool) bhwire.Load {
+	running, queued, work := u.admission.load()
+	return bhwire.Load{
+		Upstream: u.config.Name,
+		Group:    u.config.Group,
+		Serving:  !leaving && u.config.State != bhconf.StateLeave,
+		Models:   u.models,
+		Slots:    u.config.Slots,
+		Running:  running,
+		Queued:   queued,
+		Work:     work,
+	}
+}
+
+func (u *upstream) close() {
+	u.kept.CloseIdleConnections()
+	u.fresh.CloseIdleConnections()
+}
+
+func body(data []byte) io.Reader {
+	if len(data) == 0 {
+		return nil
+	}
+	return bytes.NewReader(data)
+}
+
+// upstreamSet holds the upstreams that the configuration places on this host.
+type upstreamSet struct {
+	host   string
+	logger bhlog.Logger
+
+	mu      sync.Mutex
+	current int64
+	byName  map[string]*upstream
+}
+
+func newUpstreamSet(host string, logger bhlog.Logger) *upstreamSet {
+	return &upstreamSet{host: host, logger: logger, byName: make(map[string]*upstream)}
+}
+
+// configure puts the host's part of the snapshot in force unless a newer one
+// is. Requests on upstreams that go on are not disturbed.
+func (s *upstreamSet) configure(snapshot *bhsync.Snapshot) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if snapshot.Version <= s.current {
+		return
+	}
+	next := make(map[string]*upstream)
+	for _, declared := range snapshot.Host(s.host) {
+		next[declared.Name] = s.successor(declared, modelsOf(snapshot.Config, declared.Group))
+	}
+	s.current = snapshot.Version
+	s.byName = next
+}
+
+func (s *upstreamSet) successor(declared bhconf.Upstream, models []string) *upstream {
+	fresh := newUpstream(declared)
+	if old, ok := s.byName[declared.Name]; ok && old.config.Address == declared.Address {
+		fresh.kept, fresh.fresh = old.kept, old.fresh
+		if old.config.Slots == declared.Slots {
+			fresh.admission = old.admission
+		}
+	}
+	fresh.models = models
+	return fresh
+}
+
+// find returns the upstream that the entry chose, or another of its group.
+func (s *upstreamSet) find(submit bhwire.Submit) (*upstream, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen, ok := s.byName[submit.Upstream]
+	if ok && chosen.config.Group == submit.Group && chosen.config.State != bhconf.StateLeave {
+		return chosen, nil
+	}
+	for _, other := range s.byName {
+		if other.config.Group == submit.Group && other.config.State != bhconf.StateLeave {
+			bhlog.Decision(s.logger, "upstream", other.config.Name, "chosen_not_here", len(s.byName), "id", submit.ID, "chosen", submit.Upstream)
+			return other, nil
+		}
+	}
+	return nil, bhcode.New(bhcode.NoUpstream, "no serving upstream of group %s on %s", submit.Group, s.host)
+}
+
+func (s *upstreamSet) loads() []bhwire.Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	loads := make([]bhwire.Load, 0, len(s.byName))
+	for _, upstream := range s.byName {
+		loads = append(loads, upstream.load(false))
+	}
+	return loads
+}
+
+func (s *upstreamSet) close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, upstream := range s.byName {
+		upstream.close()
+	}
+}
+
+func modelsOf(config bhconf.Config, group string) []string {
+	var names []string
+	for _, model := range config.Models {
+		if model.Group == group {
+			names = append(names, model.Name)
+		}
+	}
+	return names
+}
--- a/bhwire/live.go
+++ b/bhwire/live.go
@@ -66,7 +66,7 @@
 	Header http.Header `json:"header"`
 
 	// Identifier of the caller's request, the same for each attempt.
-	Id string `json:"id"`
+	ID string `json:"id"`
 
 	// Whether the request may run more than once.
 	Idempotent bool `json:"idempotent"`
