Add batches: intake, leases with fencing numbers, results and the runner

A file is stored as one object per chunk; up to 64 chunks share a row; a chunk is completed by one conditional write that names its result object and checks that the job has not ended. A lease is renewed by the row's own change and taken over only by whoever saw it stand still longer than its holder may act.

Seen failing and mended: a completion logged the item after giving up the mutex (race detector); the part's full flag was read without it.

--- /dev/null
+++ b/bhbatch/line.go
@@ -0,0 +1,86 @@
+package bhbatch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+)
+
+// MaxProblems bounds the list of bad lines in one answer.
+const MaxProblems = 100
+
+// Item is one request of a batch.
+type Item struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// Problem is one bad line of a file.
+type Problem struct {
+	// Line counts from one.
+	Line   int    `json:"line"`
+	Reason string `json:"reason"`
+}
+
+// InvalidError reports the bad lines of a file.
+type InvalidError struct {
+	Problems []Problem
+	// Total is the number of bad lines; Problems holds the first of them.
+	Total int
+}
+
+// Error implements the error interface.
+func (e *InvalidError) Error() string {
+	lines := make([]string, 0, len(e.Problems))
+	for _, problem := range e.Problems {
+		lines = append(lines, fmt.Sprintf("line %d: %s", problem.Line, problem.Reason))
+	}
+	return fmt.Sprintf("%d bad lines: %s", e.Total, strings.Join(lines, "; "))
+}
+
+func (e *InvalidError) add(line int, reason string) {
+	e.Total++
+	if len(e.Problems) < MaxProblems {
+		e.Problems = append(e.Problems, Problem{Line: line, Reason: reason})
+	}
+}
+
+func (e *InvalidError) err() error {
+	if e.Total == 0 {
+		return nil
+	}
+	return bhcode.Wrap(e, bhcode.BatchInvalid, "")
+}
+
+// ParseItem decodes one line. A non-empty reason says why the line is bad.
+func ParseItem(line []byte) (item Item, reason string) {
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	if err := decoder.Decode(&item); err != nil {
+		return item, "not a JSON object of a request: " + err.Error()
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return item, "more than one JSON value"
+	}
+	return item, item.problem()
+}
+
+func (i Item) problem() string {
+	switch {
+	case i.CustomID == "":
+		return "custom_id is missing"
+	case i.Method != http.MethodPost:
+		return "method must be POST"
+	case !strings.HasPrefix(i.URL, "/v1/"):
+		return "url must start with /v1/"
+	case len(i.Body) == 0 || i.Body[0] != '{':
+		return "body must be an object"
+	}
+	return ""
+}
--- /dev/null
+++ b/bhbatch/platform_test.go
@@ -0,0 +1,205 @@
+package bhbatch
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
+)
+
+// fakeCounts counts operations as the platform would charge them.
+type fakeCounts struct {
+	reads, commits, rowWrites, puts, gets int
+}
+
+// fakePlatform is a table and object store in memory with faults.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rows    map[string]bhplatform.Row
+	next    bhplatform.Version
+	objects map[string][]byte
+	random  *rand.Rand
+	counts  fakeCounts
+	delay   time.Duration
+	// tableDown and objectsDown refuse every operation.
+	tableDown, objectsDown bool
+	// lost is the share of writes whose reply is lost after they took effect.
+	lost float64
+	// late is the share of writes that report a failure and take effect later.
+	late float64
+	// refused is the share of operations refused without effect.
+	refused float64
+}
+
+func newFakePlatform(seed uint64) *fakePlatform {
+	return &fakePlatform{
+		rows: map[string]bhplatform.Row{}, objects: map[string][]byte{},
+		random: rand.New(rand.NewPCG(seed, 1)),
+	}
+}
+
+func (f *fakePlatform) platform() bhplatform.Platform {
+	return bhplatform.Platform{Table: f, Objects: fakeObjects{f}}
+}
+
+func (f *fakePlatform) set(change func(*fakePlatform)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+func (f *fakePlatform) chance(share float64) bool { return share > 0 && f.random.Float64() < share }
+
+func (f *fakePlatform) wait(ctx context.Context) error {
+	f.mu.Lock()
+	delay := f.delay
+	f.mu.Unlock()
+	if delay > 0 && !sleep(ctx, delay) {
+		return bhcode.New(bhcode.PlatformUnavailable, "timeout")
+	}
+	return nil
+}
+
+func (f *fakePlatform) Get(ctx context.Context, key string) (bhplatform.Row, error) {
+	if err := f.wait(ctx); err != nil {
+		return bhplatform.Row{}, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.reads++
+	if f.tableDown || f.chance(f.refused) {
+		return bhplatform.Row{}, bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return row, bhcode.New(bhcode.NotFound, "%s", key)
+	}
+	return row, nil
+}
+
+func (f *fakePlatform) List(ctx context.Context, prefix, after string, limit int) ([]bhplatform.Row, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.reads++
+	if f.tableDown || f.chance(f.refused) {
+		return nil, bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	var found []bhplatform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) && key > after {
+			found = append(found, row)
+		}
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Key < found[j].Key })
+	return found[:min(limit, len(found))], nil
+}
+
+func (f *fakePlatform) Commit(ctx context.Context, writes ...bhplatform.Write) ([]bhplatform.Version, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.commits++
+	if f.tableDown || f.chance(f.refused) {
+		return nil, bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	if f.chance(f.late) {
+		delay := rand.N(3 * time.Second)
+		time.AfterFunc(delay, func() {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			_, _ = f.apply(writes)
+		})
+		return nil, bhcode.New(bhcode.PlatformUnknown, "late")
+	}
+	versions, err := f.apply(writes)
+	if err == nil && f.chance(f.lost) {
+		return nil, bhcode.New(bhcode.PlatformUnknown, "reply lost")
+	}
+	return versions, err
+}
+
+func (f *fakePlatform) apply(writes []bhplatform.Write) ([]bhplatform.Version, error) {
+	for _, write := range writes {
+		if write.Expect != bhplatform.Any && f.rows[write.Key].Version != write.Expect {
+			return nil, bhcode.New(bhcode.PlatformConflict, "%s", write.Key)
+		}
+	}
+	versions := make([]bhplatform.Version, len(writes))
+	for i, write := range writes {
+		if write.Check {
+			continue
+		}
+		f.counts.rowWrites++
+		if write.Delete {
+			delete(f.rows, write.Key)
+			continue
+		}
+		f.next++
+		versions[i] = f.next
+		value := append([]byte(nil), write.Value...)
+		f.rows[write.Key] = bhplatform.Row{Key: write.Key, Value: value, Version: f.next}
+	}
+	return versions, nil
+}
+
+type fakeObjects struct{ *fakePlatform }
+
+func (f fakeObjects) Put(ctx context.Context, name string, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	if err := f.wait(ctx); err != nil {
+		return err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.puts++
+	if f.objectsDown || f.chance(f.refused) {
+		return bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	f.objects[name] = data
+	if f.chance(f.lost) {
+		return bhcode.New(bhcode.PlatformUnknown, "reply lost")
+	}
+	return nil
+}
+
+func (f fakeObjects) Get(ctx context.Context, name string, offset int64) (io.ReadCloser, error) {
+	if err := f.wait(ctx); err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.counts.gets++
+	if f.objectsDown || f.chance(f.refused) {
+		return nil, bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	data, ok := f.objects[name]
+	if !ok {
+		return nil, bhcode.New(bhcode.NotFound, "%s", name)
+	}
+	return io.NopCloser(bytes.NewReader(data[offset:])), nil
+}
+
+func (f fakeObjects) Delete(_ context.Context, name string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.objectsDown {
+		return bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	delete(f.objects, name)
+	return nil
+}
--- /dev/null
+++ b/bhbatch/store_test.go
@@ -0,0 +1,142 @@
+package bhbatch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+)
+
+const account = "lin"
+
+func itemLine(id int) string {
+	return fmt.Sprintf(`{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"n":%d}}`, id, id)
+}
+
+func inputFile(items int) string {
+	var lines strings.Builder
+	for i := range items {
+		lines.WriteString(itemLine(i))
+		lines.WriteByte('\n')
+	}
+	return lines.String()
+}
+
+func newStore(fake *fakePlatform, chunkItems int) *Store {
+	return NewStore(StoreConfig{Platform: fake.platform(), ChunkItems: chunkItems})
+}
+
+func submit(t *testing.T, store *Store, items int, id string) Job {
+	t.Helper()
+	file, err := store.SaveFile(context.Background(), account, "week.jsonl", strings.NewReader(inputFile(items)))
+	require.NoError(t, err)
+	job, err := store.Create(context.Background(), account, CreateRequest{File: file.ID, ID: id})
+	require.NoError(t, err)
+	return job
+}
+
+func TestSaveFileStoresWholeFileInSegments(t *testing.T) {
+	fake := newFakePlatform(1)
+	store := newStore(fake, 10)
+	content := inputFile(25)
+	file, err := store.SaveFile(context.Background(), account, "f", strings.NewReader(strings.TrimSuffix(content, "\n")))
+	require.NoError(t, err)
+	assert.Equal(t, 25, file.Items)
+	assert.Equal(t, 3, file.Chunks)
+	body, err := store.Input(context.Background(), account, file.ID)
+	require.NoError(t, err)
+	data, err := io.ReadAll(body)
+	require.NoError(t, err)
+	assert.Equal(t, content, string(data))
+	_, err = store.File(context.Background(), "other", file.ID)
+	assert.True(t, bhcode.Is(err, bhcode.NotFound))
+}
+
+func TestSaveFileReportsEveryBadLineAndKeepsNothing(t *testing.T) {
+	fake := newFakePlatform(1)
+	store := newStore(fake, 2)
+	lines := []string{
+		itemLine(0), itemLine(1), itemLine(2), `{`, itemLine(0),
+		`{"custom_id":"a","method":"GET","url":"/v1/x","body":{}}`,
+		strings.Repeat("x", MaxLineBytes+10),
+		`{"custom_id":"b","method":"POST","url":"/v1/x","body":[]}`,
+		`{"custom_id":"c","method":"POST","url":"/admin","body":{}}`,
+		itemLine(9) + " {}",
+	}
+	_, err := store.SaveFile(context.Background(), account, "f", strings.NewReader(strings.Join(lines, "\n")))
+	var invalid *InvalidError
+	require.True(t, errors.As(err, &invalid))
+	assert.True(t, bhcode.Is(err, bhcode.BatchInvalid))
+	var bad []int
+	for _, problem := range invalid.Problems {
+		bad = append(bad, problem.Line)
+	}
+	assert.Equal(t, []int{4, 5, 6, 7, 8, 9, 10}, bad)
+	assert.Empty(t, fake.objects)
+	assert.Empty(t, fake.rows)
+}
+
+func TestSaveFileBoundsProblemsAndRefusesEmpty(t *testing.T) {
+	store := newStore(newFakePlatform(1), 2)
+	_, err := store.SaveFile(context.Background(), account, "f", strings.NewReader(strings.Repeat("{\n", 5*MaxProblems)))
+	var invalid *InvalidError
+	require.True(t, errors.As(err, &invalid))
+	assert.Len(t, invalid.Problems, MaxProblems)
+	assert.Equal(t, 5*MaxProblems, invalid.Total)
+	_, err = store.SaveFile(context.Background(), account, "f", strings.NewReader("\n\n"))
+	assert.True(t, bhcode.Is(err, bhcode.BatchInvalid))
+}
+
+func TestCreateIsIdempotent(t *testing.T) {
+	store := newStore(newFakePlatform(1), 10)
+	first := submit(t, store, 20, "week-1")
+	again := submit(t, store, 20, "week-1")
+	assert.Equal(t, first, again, "a new upload of the same content finds the same batch")
+	file, err := store.SaveFile(context.Background(), account, "f", strings.NewReader(inputFile(21)))
+	require.NoError(t, err)
+	_, err = store.Create(context.Background(), account, CreateRequest{File: file.ID, ID: "week-1"})
+	assert.True(t, bhcode.Is(err, bhcode.BatchConflict))
+}
+
+func TestCreateSettlesUnknownOutcomes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		fake := newFakePlatform(7)
+		fake.lost, fake.late, fake.refused = 0.3, 0.2, 0.2
+		store := newStore(fake, 10)
+		for i := range 50 {
+			id := fmt.Sprintf("job-%d", i)
+			first := submit(t, store, 20, id)
+			again := submit(t, store, 20, id)
+			assert.Equal(t, first.File, again.File)
+		}
+		fake.set(func(f *fakePlatform) { f.lost, f.late, f.refused = 0, 0, 0 })
+		leads, err := store.Leads(context.Background())
+		require.NoError(t, err)
+		assert.Len(t, leads, 50)
+	})
+}
+
+func TestOtherAccountsSeeNothing(t *testing.T) {
+	store := newStore(newFakePlatform(1), 10)
+	job := submit(t, store, 5, "a")
+	ctx := context.Background()
+	_, err := store.Get(ctx, "hinokuni", job.ID)
+	assert.True(t, bhcode.Is(err, bhcode.NotFound))
+	_, err = store.Cancel(ctx, "hinokuni", job.ID)
+	assert.True(t, bhcode.Is(err, bhcode.NotFound))
+	_, err = store.Results(ctx, "hinokuni", job.ID, SelectAll)
+	assert.True(t, bhcode.Is(err, bhcode.NotFound))
+	_, err = store.Create(ctx, "hinokuni", CreateRequest{File: job.File})
+	assert.True(t, bhcode.Is(err, bhcode.NotFound))
+	list, err := store.List(ctx, "hinokuni", "", 0)
+	require.NoError(t, err)
+	assert.Empty(t, list)
+}
