--- a/bhcmd/root.go
+++ b/bhcmd/root.go
@@ -44,6 +44,7 @@
 		Commands: []*cli.Command{
 			NewDev(factory),
 			NewEntry(factory),
+			NewLoad(factory),
 			NewSidecar(factory),
 			NewStand(factory),
 			NewVersion(factory),
--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -46,25 +46,32 @@
 	Message string `json:"message"`
 }
 
-// Grant asks a peer for rate tokens of an account or answers such a request.
+// Grant moves a part of an account's rate and burst between two entries for a
+// time: ask, give, or return.
 type Grant struct {
 	// Client account.
 	Account string `json:"account"`
 
-	// Whether this is an answer.
-	Answer bool `json:"answer"`
+	// One of ask, give and return.
+	Action string `json:"action"`
 
-	// Number of the transfer, chosen by the asking host.
+	// Burst of the whole loan, in tokens.
+	Burst float64 `json:"burst"`
+
+	// Number of the loan, chosen by the asking host.
 	ID uint64 `json:"id"`
 
-	// Part of the account's rate asked for or given, in tokens per second.
+	// Number of the ask within the loan; an answer repeats it.
+	Seq uint64 `json:"seq"`
+
+	// Rate of the whole loan, in tokens per second.
 	Share float64 `json:"share"`
 
-	// Tokens asked for or given.
-	Tokens float64 `json:"tokens"`
+	// How long the loan lasts, counted from the ask.
+	Term time.Duration `json:"term"`
 
-	// Version of the account's grant row that the transfer refers to.
-	Version int64 `json:"version"`
+	// Tokens asked for, given or returned.
+	Tokens float64 `json:"tokens"`
 }
 
 // Have says which configuration is in force at the sender.
@@ -168,3 +175,37 @@
 	// Digest of the request's content.
 	Digest string `json:"digest"`
 }
+
+// Vote asks an entry for its promise to honour a membership epoch of the limits,
+// or answers.
+type Vote struct {
+	// Time since the sender adopted its epoch.
+	Age time.Duration `json:"age"`
+
+	// Whether this is an answer.
+	Answer bool `json:"answer"`
+
+	// Row of the epoch as JSON, for a sender of a question with a lower epoch.
+	Body []byte `json:"body"`
+
+	// Epoch of the sender; 0 for none.
+	Epoch int64 `json:"epoch"`
+
+	// Whether the answer promises to honour the epoch asked about.
+	Granted bool `json:"granted"`
+
+	// Host of the sender.
+	Host string `json:"host"`
+
+	// Whether the sender is leaving.
+	Leaving bool `json:"leaving"`
+
+	// Time since the sender's evidence that its epoch was the table's newest.
+	Proof time.Duration `json:"proof"`
+
+	// Number of the question; the answer repeats it.
+	Seq uint64 `json:"seq"`
+
+	// Incarnation of the sender.
+	Start uint64 `json:"start"`
+}
--- a/bhwire/link.go
+++ b/bhwire/link.go
@@ -58,6 +58,7 @@
 const KindSubmit Kind = "submit"
 const KindTaken Kind = "taken"
 const KindVerdict Kind = "verdict"
+const KindVote Kind = "vote"
 
 // Proof answers the peer's challenge, one digest for each fleet secret the sender
 // holds.
