--- a/bhbatch/status.go
+++ b/bhbatch/status.go
@@ -55,7 +55,7 @@
 
 // List returns up to limit batches of account whose ids follow after.
 func (s *Store) List(ctx context.Context, account, after string, limit int) ([]Status, error) {
-	if limit <= 0 || limit > MaxList {
+	if limit <= 0 || limit > MaxList+1 {
 		limit = MaxList
 	}
 	prefix := prefixJob + account + "/"
