--- /dev/null
+++ b/scenario/command_test.go
@@ -0,0 +1,178 @@
+package scenario
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var signals = map[string]syscall.Signal{
+	"TERM": syscall.SIGTERM,
+	"KILL": syscall.SIGKILL,
+	"STOP": syscall.SIGSTOP,
+	"CONT": syscall.SIGCONT,
+}
+
+// need ends the scenario unless there are between least and most arguments.
+func need(ts *testscript.TestScript, neg bool, args []string, least, most int, usage string) {
+	if neg || len(args) < least || len(args) > most {
+		ts.Fatalf("usage: %s", usage)
+	}
+}
+
+// startCommand starts a process of the program under a name.
+func startCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 100, "start NAME ARGUMENT...")
+	ts.Check(worldOf(ts).start(args[0], args[1:]...))
+}
+
+// awaitCommand waits until a process's output matches a pattern a number of
+// times.
+func awaitCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 3, "await NAME PATTERN [COUNT]")
+	p := worldOf(ts).process(ts, args[0])
+	pattern, err := regexp.Compile("(?m)" + args[1])
+	ts.Check(err)
+	want := 1
+	if len(args) == 3 {
+		want, err = strconv.Atoi(args[2])
+		ts.Check(err)
+	}
+	found := until(func() bool {
+		count, err := p.matches(pattern)
+		ts.Check(err)
+		return count >= want
+	})
+	if !found {
+		ts.Fatalf("%s never logged %s", args[0], args[1])
+	}
+}
+
+// pollCommand waits until the answer to a GET matches a pattern.
+func pollCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 2, "poll URL PATTERN")
+	pattern, err := regexp.Compile(args[1])
+	ts.Check(err)
+	w := worldOf(ts)
+	var last string
+	found := until(func() bool {
+		response, err := w.http.Get(args[0])
+		if err != nil {
+			last = err.Error()
+			return false
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		last = string(body)
+		return err == nil && pattern.Match(body)
+	})
+	if !found {
+		ts.Fatalf("%s never answered %s, last: %s", args[0], args[1], last)
+	}
+}
+
+// signalCommand sends a signal to a process.
+func signalCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 2, "signal NAME TERM|KILL|STOP|CONT")
+	signal, ok := signals[args[1]]
+	if !ok {
+		ts.Fatalf("unknown signal %s", args[1])
+	}
+	ts.Check(worldOf(ts).process(ts, args[0]).signal(signal))
+}
+
+// finishCommand waits until a process ended with an exit code; -1 means that a
+// signal ended it.
+func finishCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 2, "finish NAME CODE")
+	want, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	p := worldOf(ts).process(ts, args[0])
+	ended := until(func() bool {
+		select {
+		case <-p.done:
+			return true
+		default:
+			return false
+		}
+	})
+	if !ended {
+		ts.Fatalf("%s did not end", args[0])
+	}
+	if p.code != want {
+		ts.Fatalf("%s ended with %d", args[0], p.code)
+	}
+}
+
+// switchCommand changes the faults of the platform's stand-in.
+func switchCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 1, 1, "switch JSON")
+	w := worldOf(ts)
+	response, err := w.http.Post(w.url(portPlatform)+"/switch", "application/json", strings.NewReader(args[0]))
+	ts.Check(err)
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		ts.Fatalf("switch: %s", response.Status)
+	}
+}
+
+// callCommand sends one request and prints the answer. It fails unless the
+// status is as given; status 0 means that there is no whole answer.
+func callCommand(ts *testscript.TestScript, neg bool, args []string) {
+	const usage = "call STATUS METHOD URL [key=KEY] [body=FILE|TEXT] [id=ID]"
+	need(ts, neg, args, 3, 6, usage)
+	want, err := strconv.Atoi(args[0])
+	ts.Check(err)
+	options := parseOptions(ts, args[3:], usage)
+	body := []byte(options["body"])
+	if name, ok := strings.CutPrefix(options["body"], "@"); ok {
+		body = []byte(ts.ReadFile(name))
+	}
+	request, err := http.NewRequest(args[1], args[2], bytes.NewReader(body))
+	ts.Check(err)
+	request.GetBody = nil
+	if key := options["key"]; key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if id := options["id"]; id != "" {
+		request.Header.Set("X-Request-Id", id)
+	}
+	status, text := send(worldOf(ts), request)
+	_, err = ts.Stdout().Write(text)
+	ts.Check(err)
+	if status != want {
+		ts.Fatalf("status %d: %s", status, text)
+	}
+}
+
+// send returns the status and the body, or 0 if there is no whole answer.
+func send(w *world, request *http.Request) (int, []byte) {
+	response, err := w.http.Do(request)
+	if err != nil {
+		return 0, []byte(err.Error())
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, append(text, err.Error()...)
+	}
+	return response.StatusCode, text
+}
+
+func parseOptions(ts *testscript.TestScript, args []string, usage string) map[string]string {
+	options := make(map[string]string)
+	for _, arg := range args {
+		name, value, ok := strings.Cut(arg, "=")
+		if !ok {
+			ts.Fatalf("usage: %s", usage)
+		}
+		options[name] = value
+	}
+	return options
+}
