Mount files and batches on the entry

Ruled out: a rate of its own for the API's calls; each counts as one request. After: by hand on dev, a file of three items and a batch were accepted. Conclusion: intake works end to end; items run once the sidecars have a runner.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -29,6 +29,7 @@
 	server.Use(e.observe)
 	server.POST(bhchat.Path, e.authenticated(e.chat))
 	server.GET("/v1/models", e.authenticated(e.models))
+	e.batches.Register(server, e.authenticated, e.spending)
 	server.Any("/*", e.plain)
 	return server
 }
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -8,8 +8,10 @@
 	"net/http"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/baobabhaven/baobabhaven/bhbatch"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhkey"
@@ -50,6 +52,7 @@
 	fleet    *fleet
 	limiter  Limiter
 	guard    *bhkey.Guard
+	batches  *bhbatch.Handler
 	metrics  requestMetrics
 	inflight bhdrain.Inflight
 	server   *http.Server
@@ -66,6 +69,11 @@
 	e.fleet = newFleet(fleetConfig{Self: config.Settings.Host, Link: e.linkConfig(), Mesh: e.mesh, Hosts: config.Platform.Hosts, Logger: logger})
 	e.guard = bhkey.NewGuard(bhkey.GuardConfig{})
 	e.limiter = newLocalLimiter(e.store)
+	e.batches = bhbatch.NewHandler(bhbatch.HandlerConfig{
+		Store:   bhbatch.NewStore(bhbatch.StoreConfig{Platform: config.Platform, Logger: logger}),
+		Logger:  logger,
+		Account: func(c echo.Context) (string, error) { return callerOf(c).identity.Account, nil },
+	})
 	return e
 }
 
--- a/bhentry/limiter.go
+++ b/bhentry/limiter.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/labstack/echo/v4"
 	"golang.org/x/time/rate"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
@@ -63,3 +64,13 @@
 	}
 	return bhcode.New(bhcode.RateExceeded, "the client account %s is over its rate and burst", account).WithRetryAfter(wait)
 }
+
+// spending wraps a handler whose requests count against the account's rate.
+func (e *Entry) spending(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if err := e.spend(callerOf(c).identity.Account); err != nil {
+			return err
+		}
+		return next(c)
+	}
+}
