--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -1,8 +1,9 @@
 package bhchat
 
 import (
-	"encoding/json"
 	"strings"
+
+	"github.com/goccy/go-json"
 )
 
 // Object names in answers.
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -2,7 +2,8 @@
 
 import (
 	"bytes"
-	"encoding/json"
+
+	"github.com/goccy/go-json"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 )
--- a/bhentry/chat.go
+++ b/bhentry/chat.go
@@ -120,7 +120,7 @@
 			return err
 		}
 	}
-	return a.flush(len(chunks))
+	return nil
 }
 
 func (a *chatAnswer) chunk(chunk bhchat.Chunk) error {
@@ -153,11 +153,10 @@
 	return nil
 }
 
-func (a *chatAnswer) flush(events int) error {
-	if a.request.Stream && events > 0 {
+func (a *chatAnswer) flush() {
+	if a.request.Stream && a.c.Response().Committed {
 		a.c.Response().Flush()
 	}
-	return nil
 }
 
 func (a *chatAnswer) end() error {
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -24,6 +24,8 @@
 	head(bhwire.Head) error
 	// data takes the next bytes of the answer.
 	data([]byte) error
+	// flush sends the caller what was taken so far.
+	flush()
 	// end takes the answer's orderly end and reports whether it is whole.
 	end() error
 	// resumable reports whether another attempt can follow what was taken.
@@ -115,6 +117,9 @@
 		if done || err != nil {
 			return err
 		}
+		if !call.pending() {
+			answer.flush()
+		}
 	}
 }
 
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -126,6 +127,7 @@
 
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	mux.Handle("/metrics", e.config.Metrics.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if e.store.Current() == nil {
--- a/bhentry/livelink.go
+++ b/bhentry/livelink.go
@@ -17,6 +17,9 @@
 // entry or wait in it.
 const window = 256 << 10
 
+// creditStep is the number of bytes taken that are acknowledged together.
+const creditStep = window / 4
+
 // liveLink carries requests to one sidecar and leads the answers back to the
 // calls that asked.
 type liveLink struct {
@@ -124,6 +127,7 @@
 	inbox  []bhwire.Frame
 	lost   bool
 	ended  bool
+	taken  int
 	arrive chan struct{}
 }
 
@@ -172,6 +176,13 @@
 	}
 }
 
+// pending reports whether frames wait to be received.
+func (c *call) pending() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.inbox) > 0
+}
+
 func (c *call) take() (frame bhwire.Frame, ok, lost bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -187,12 +198,20 @@
 	return frame, true, false
 }
 
+// acknowledge gives the sidecar credit for data taken, a part of the window at
+// a time. Only the receiving goroutine calls it.
 func (c *call) acknowledge(ctx context.Context, frame bhwire.Frame) {
 	if frame.Kind != bhwire.KindData {
 		return
 	}
+	c.taken += len(frame.Body)
+	if c.taken < creditStep {
+		return
+	}
+	credit := bhwire.Credit{Bytes: c.taken}
+	c.taken = 0
 	// A lost link shows when the inbox is empty; what arrived is still good.
-	_ = c.link.session.SendMessage(ctx, bhwire.KindCredit, c.id, bhwire.Credit{Bytes: len(frame.Body)})
+	_ = c.link.session.SendMessage(ctx, bhwire.KindCredit, c.id, credit)
 }
 
 // close ends the call and cancels it at the sidecar if it hasn't ended.
--- a/bhentry/plain.go
+++ b/bhentry/plain.go
@@ -104,10 +104,15 @@
 	if _, err := a.c.Response().Write(data); err != nil {
 		return bhcode.Wrap(err, bhcode.Cancelled, "the caller left").WithRan(bhcode.RanYes)
 	}
-	a.c.Response().Flush()
 	return nil
 }
 
+func (a *plainAnswer) flush() {
+	if a.c.Response().Committed {
+		a.c.Response().Flush()
+	}
+}
+
 func (a *plainAnswer) end() error { return nil }
 
 func (a *plainAnswer) resumable() bool { return !a.c.Response().Committed }
