Admit live requests fairly by work and let batch step aside

bhqueue decides at a sidecar for one upstream: start-time fair queueing between client accounts by work and weight, bounded queues, a wait within the deadline, refusals at once with a wait estimated from the drain rate, batch in free slots only (the latest steps aside at once), suspects alone.

--- /dev/null
+++ b/bhqueue/queue_test.go
@@ -0,0 +1,254 @@
+package bhqueue
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+)
+
+func entry(id int, account string) Entry[int] {
+	return Entry[int]{ID: id, Account: account, Work: 100}
+}
+
+func TestLiveStartsThenQueuesThenStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 1})
+		require.Equal(t, []int{1}, q.Admit(entry(1, "a")).Start)
+		require.Equal(t, Update[int]{}, q.Admit(entry(2, "a")))
+		require.Equal(t, Load{Running: 1, Queued: 1, Work: 200}, q.Load())
+		require.Equal(t, []int{2}, q.Done(1, 0).Start)
+		require.Empty(t, q.Done(2, 0).Start)
+		require.Equal(t, Load{}, q.Load())
+	})
+}
+
+func TestAccountsTakeTurnsByWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 1, Weight: func(a string) float64 { return map[string]float64{"a": 1, "b": 2}[a] }})
+		q.Admit(entry(0, "c"))
+		for i := 1; i <= 6; i++ {
+			q.Admit(entry(i, "a"))
+		}
+		for i := 11; i <= 16; i++ {
+			q.Admit(entry(i, "b"))
+		}
+		order := []int{}
+		last := 0
+		for range 9 {
+			started := q.Done(last, 0).Start
+			require.Len(t, started, 1)
+			last = started[0]
+			order = append(order, last)
+		}
+		fromB := slices.DeleteFunc(slices.Clone(order), func(id int) bool { return id < 10 })
+		require.Len(t, fromB, 6, "weight 2 gets two of three turns: %v", order)
+	})
+}
+
+func TestRefusalsComeAtOnceWithRetryAfter(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 1, AccountQueued: 3, Queued: 4})
+		q.Admit(entry(0, "a"))
+		time.Sleep(time.Second)
+		q.Admit(entry(1, "a"))
+		q.Done(0, 0)
+		for i := 2; i <= 4; i++ {
+			require.Empty(t, q.Admit(entry(i, "a")).Refuse)
+		}
+		full := q.Admit(entry(5, "a")).Refuse
+		require.Len(t, full, 1)
+		require.Equal(t, 5, full[0].ID)
+		require.Equal(t, bhcode.Overloaded, full[0].Err.Code)
+		require.Equal(t, bhcode.RanNo, full[0].Err.Ran)
+		require.InDelta(t, 4*time.Second, full[0].Err.RetryAfter, float64(100*time.Millisecond), "4 queued at 1 s each")
+		require.Empty(t, q.Admit(entry(11, "b")).Refuse)
+		pushed := q.Admit(entry(12, "b"))
+		require.Len(t, pushed.Refuse, 1)
+		require.Equal(t, 4, pushed.Refuse[0].ID, "the total bound costs the account with the longest queue")
+	})
+}
+
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 1})
+		q.Admit(entry(0, "a"))
+		time.Sleep(time.Second)
+		q.Done(0, 0)
+		for i := 1; i <= 3; i++ {
+			q.Admit(entry(i, "a"))
+		}
+		late := entry(4, "a")
+		late.Deadline = time.Now().Add(time.Second)
+		update := q.Admit(late)
+		require.Len(t, update.Refuse, 1)
+		require.Equal(t, 4, update.Refuse[0].ID)
+	})
+}
+
+func TestQueuedRequestExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 1, Wait: 2 * time.Second})
+		q.Admit(entry(0, "a"))
+		q.Admit(entry(1, "b"))
+		next, ok := q.Next()
+		require.True(t, ok)
+		require.Equal(t, 2*time.Second, time.Until(next))
+		require.Empty(t, q.Expire().Refuse)
+		time.Sleep(2 * time.Second)
+		update := q.Expire()
+		require.Len(t, update.Refuse, 1)
+		require.Equal(t, bhcode.QueueTimeout, update.Refuse[0].Err.Code)
+		require.Positive(t, update.Refuse[0].Err.RetryAfter)
+	})
+}
+
+func TestBatchTakesOnlyFreeSlotsAndStepsAside(t *testing.T) {
+	q := New[int](Config{Slots: 3})
+	q.Admit(entry(1, "a"))
+	require.Equal(t, 2, q.Free())
+	require.True(t, q.Offer(101))
+	require.True(t, q.Offer(102))
+	require.False(t, q.Offer(103))
+	update := q.Admit(entry(2, "b"))
+	require.Equal(t, []int{2}, update.Start, "live doesn't wait for batch")
+	require.Equal(t, []int{102}, update.Preempt, "the latest batch request stops first")
+	q.Return(102)
+	require.Zero(t, q.Free(), "a preempted request holds no slot to return")
+	q.Return(101)
+	require.Equal(t, 1, q.Free())
+}
+
+func TestSuspectRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := New[int](Config{Slots: 4})
+		q.Admit(entry(1, "a"))
+		require.True(t, q.Offer(101))
+		suspect := entry(2, "b")
+		suspect.Alone = true
+		update := q.Admit(suspect)
+		require.Empty(t, update.Start)
+		require.Equal(t, []int{101}, update.Preempt)
+		require.Zero(t, q.Free())
+		require.Empty(t, q.Admit(entry(3, "c")).Start, "nothing joins while the suspect waits")
+		require.Equal(t, []int{2}, q.Done(1, 0).Start)
+		require.False(t, q.Offer(102))
+		require.Equal(t, []int{3}, q.Done(2, 0).Start)
+	})
+}
+
+func TestCancelFreesThePlaceAtOnce(t *testing.T) {
+	q := New[int](Config{Slots: 1})
+	q.Admit(entry(1, "a"))
+	q.Admit(entry(2, "a"))
+	q.Admit(entry(3, "a"))
+	require.Empty(t, q.Cancel(2).Start)
+	require.Equal(t, []int{3}, q.Cancel(1).Start)
+	require.Empty(t, q.Cancel(1).Start, "a second cancel changes nothing")
+	q.Cancel(3)
+	require.Equal(t, Load{}, q.Load())
+}
+
+func TestShrinkingStopsBatch(t *testing.T) {
+	q := New[int](Config{Slots: 3})
+	for id := range 3 {
+		require.True(t, q.Offer(id))
+	}
+	require.Equal(t, []int{2, 1}, q.Resize(1).Preempt)
+}
+
+// queueModel checks every update against what must hold of a queue.
+type queueModel struct {
+	slots   int
+	queue   *Queue[int]
+	running map[int]bool
+	waiting map[int]bool
+	alone   map[int]bool
+	batch   map[int]bool
+}
+
+func (m *queueModel) apply(t *rapid.T, update Update[int]) {
+	for _, id := range update.Refuse {
+		require.True(t, m.waiting[id.ID], "only a waiting request is refused")
+		require.Equal(t, bhcode.RanNo, id.Err.Ran)
+		require.Positive(t, id.Err.RetryAfter)
+		delete(m.waiting, id.ID)
+	}
+	for _, id := range update.Preempt {
+		require.True(t, m.batch[id])
+		delete(m.batch, id)
+	}
+	for _, id := range update.Start {
+		require.True(t, m.waiting[id], "each request starts once")
+		delete(m.waiting, id)
+		m.running[id] = true
+	}
+	require.LessOrEqual(t, len(m.running)+len(m.batch), m.slots)
+	for id := range m.running {
+		require.True(t, !m.alone[id] || len(m.running)+len(m.batch) == 1, "a suspect shares with nothing")
+	}
+	load := m.queue.Load()
+	require.Equal(t, [3]int{len(m.running), len(m.waiting), len(m.batch)}, [3]int{load.Running, load.Queued, load.Batch})
+	if len(m.waiting) > 0 {
+		_, ok := m.queue.Next()
+		require.True(t, ok)
+	}
+}
+
+func TestQueueProperties(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		synctest.Test(t, func(*testing.T) {
+			m := &queueModel{slots: rapid.IntRange(1, 5).Draw(rt, "slots"), running: map[int]bool{}, waiting: map[int]bool{}, alone: map[int]bool{}, batch: map[int]bool{}}
+			m.queue = New[int](Config{Slots: m.slots, Queued: 6, AccountQueued: 3})
+			for id := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+				target := rapid.IntRange(0, id).Draw(rt, "target")
+				switch rapid.IntRange(0, 6).Draw(rt, "event") {
+				case 0, 1, 2:
+					e := entry(id, fmt.Sprint(rapid.IntRange(0, 2).Draw(rt, "account")))
+					e.Alone = rapid.IntRange(0, 9).Draw(rt, "alone") == 0
+					m.waiting[id], m.alone[id] = true, e.Alone
+					m.apply(rt, m.queue.Admit(e))
+				case 3:
+					if m.running[target] {
+						delete(m.running, target)
+						m.apply(rt, m.queue.Done(target, 50))
+					}
+				case 4:
+					delete(m.running, target)
+					delete(m.waiting, target)
+					m.apply(rt, m.queue.Cancel(target))
+				case 5:
+					time.Sleep(rapid.SampledFrom([]time.Duration{time.Millisecond, time.Second, 6 * time.Second}).Draw(rt, "sleep"))
+					m.apply(rt, m.queue.Expire())
+				case 6:
+					if m.queue.Offer(-id - 1) {
+						m.batch[-id-1] = true
+					}
+					m.apply(rt, Update[int]{})
+				}
+			}
+			time.Sleep(10 * time.Second)
+			m.apply(rt, m.queue.Expire())
+			require.Empty(rt, m.waiting, "no request waits past its bound")
+		})
+	})
+}
+
+func BenchmarkAdmitDone(b *testing.B) {
+	q := New[int](Config{Slots: 16})
+	for i := range 50 {
+		q.Admit(entry(-1-i, fmt.Sprint(i)))
+	}
+	id := 0
+	for b.Loop() {
+		q.Admit(entry(id, "x"))
+		q.Cancel(id)
+		id++
+	}
+}
