Admit at the sidecar by the fair queue, with places for batch

Cause: the sidecar let requests in by a plain count of slots: first come, first served between accounts, and nowhere for batch to stand aside. Ruled out: a goroutine that drives the queue (each waiting request can carry out its own expiry, and nothing has to be closed). Before: FIFO. Conclusion: the batch runner can take its places from the same queue.

--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -45,11 +45,11 @@
 	fresh *http.Transport
 }
 
-func newUpstream(config bhconf.Upstream) *upstream {
+func newUpstream(config bhconf.Upstream, weight func(account string) float64) *upstream {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &upstream{
 		config:    config,
-		admission: newAdmission(config.Slots),
+		admission: newAdmission(config.Slots, weight),
 		kept: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idleConnections,
@@ -105,16 +105,16 @@
 }
 
 func (u *upstream) load() bhwire.Load {
-	running, queued, work := u.admission.load()
+	load := u.admission.queue.Load()
 	return bhwire.Load{
 		Upstream: u.config.Name,
 		Group:    u.config.Group,
 		Serving:  u.config.State != bhconf.StateLeave,
 		Models:   u.models,
 		Slots:    u.config.Slots,
-		Running:  running,
-		Queued:   queued,
-		Work:     work,
+		Running:  load.Running,
+		Queued:   load.Queued,
+		Work:     load.Work,
 	}
 }
 
@@ -154,6 +154,8 @@
 type upstreamSet struct {
 	host   string
 	logger bhlog.Logger
+	// weights are the client accounts' weights in the configuration in force.
+	weights atomic.Pointer[map[string]float64]
 
 	mu      sync.Mutex
 	current int64
@@ -187,16 +189,27 @@
 	}
 	s.current = snapshot.Version
 	s.byName = next
+	weights := weightsOf(snapshot.Config)
+	s.weights.Store(&weights)
+}
+
+// weight returns an account's weight; accounts weigh 1 unless declared.
+func (s *upstreamSet) weight(account string) float64 {
+	if weights := s.weights.Load(); weights != nil {
+		if weight, ok := (*weights)[account]; ok {
+			return weight
+		}
+	}
+	return 1
 }
 
 func (s *upstreamSet) successor(declared bhconf.Upstream, models []string) *upstream {
-	fresh := newUpstream(declared)
+	fresh := newUpstream(declared, s.weight)
 	if old, ok := s.byName[declared.Name]; ok && old.config.Address == declared.Address {
 		fresh.kept, fresh.fresh = old.kept, old.fresh
 		fresh.cache, fresh.unfollow = old.cache, old.unfollow
-		if old.config.Slots == declared.Slots {
-			fresh.admission = old.admission
-		}
+		fresh.admission = old.admission
+		fresh.admission.apply(fresh.admission.queue.Resize(max(declared.Slots, 1)))
 	}
 	fresh.models = models
 	return fresh
@@ -245,3 +258,13 @@
 	}
 	return names
 }
+
+func weightsOf(config bhconf.Config) map[string]float64 {
+	weights := make(map[string]float64)
+	for _, account := range config.Accounts {
+		if account.Weight > 0 {
+			weights[account.Name] = account.Weight
+		}
+	}
+	return weights
+}
