Run keyed requests for plain services at most once

Cause: a resend of a swap or deposit notice with its Idempotency-Key ran again. Before (mechanism off): the resend through another entry gave run 2, the scenario 'once' fails at its first resend. After: it passes: resends through another entry, another body, a connection dropped after the run, a table outage, a lost reply, the loss of an entry; the plain service counted one run each. Conclusion: claims hold over real processes; frozen entries are not covered yet.

--- a/bhentry/chat.go
+++ b/bhentry/chat.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/labstack/echo/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
@@ -179,8 +180,8 @@
 
 // contentDigest identifies a request by its account and content.
 func contentDigest(account string, body []byte) string {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(account + "\n")
-	_, _ = digest.Write(body)
-	return formatDigest(digest.Sum64())
+	digest := sha256.New()
+	digest.Write([]byte(account + "\n"))
+	digest.Write(body)
+	return hex.EncodeToString(digest.Sum(nil))
 }
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmesh"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
+	"github.com/baobabhaven/baobabhaven/bhonce"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhroute"
 	"github.com/baobabhaven/baobabhaven/bhsync"
@@ -55,6 +56,7 @@
 	budgets  *bhroute.Budgets
 	limiter  Limiter
 	guard    *bhkey.Guard
+	once     *bhonce.Keeper
 	batches  *bhbatch.Handler
 	metrics  requestMetrics
 	inflight bhdrain.Inflight
@@ -71,6 +73,12 @@
 	e.follower = newFollower(config.Platform.Table, e.mesh, e.store, logger)
 	e.fleet = newFleet(fleetConfig{Self: config.Settings.Host, Link: e.linkConfig(), Mesh: e.mesh, Hosts: config.Platform.Hosts, Logger: logger})
 	e.budgets = bhroute.NewBudgets()
+	e.once = bhonce.New(bhonce.Config{
+		Table:   config.Platform.Table,
+		Objects: config.Platform.Objects,
+		Host:    config.Settings.Host,
+		Logger:  logger,
+	})
 	e.guard = bhkey.NewGuard(bhkey.GuardConfig{})
 	e.limiter = newLocalLimiter(e.store)
 	e.batches = bhbatch.NewHandler(bhbatch.HandlerConfig{
@@ -100,6 +108,7 @@
 	tree.AddRestarted("follower", e.follower.run)
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
+	tree.AddRestarted("claims", e.once.Run)
 	tree.AddRestarted("announce", e.announce)
 	tree.Add("drain", func(inner context.Context) error {
 		select {
@@ -124,6 +133,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	err := e.server.Shutdown(ctx)
+	if unsettled := e.once.Close(ctx); unsettled != nil {
+		bhlog.Problem(e.logger, "claims.unsettled", unsettled)
+	}
 	_ = e.mesh.Close()
 	bhlog.Event(e.logger, "entry.drained", "whole", err == nil)
 }
--- a/bhentry/plain.go
+++ b/bhentry/plain.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -13,8 +12,6 @@
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-const digestBase = 16
-
 // plain serves a request for a plain service.
 func (e *Entry) plain(c echo.Context) error {
 	now := e.store.Current()
@@ -40,14 +37,22 @@
 	if timeout == 0 {
 		timeout = bhconf.DefaultRouteTimeout
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), timeout)
+	submit := plainSubmit(c, route, caller, body)
+	keyed := !submit.Idempotent && c.Request().Header.Get(headerIdempotency) != ""
+	parent := c.Request().Context()
+	if keyed {
+		parent = context.WithoutCancel(parent)
+	}
+	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
 	if !route.Open {
 		running, release := e.running.Add(ctx, caller.identity)
 		defer release()
 		ctx = running
 	}
-	submit := plainSubmit(c, route, caller, body)
+	if keyed {
+		return e.keyed(ctx, c, submit, body)
+	}
 	return e.dispatch(ctx, submit, &plainAnswer{c: c, body: body})
 }
 
@@ -116,5 +121,3 @@
 func (a *plainAnswer) end() error { return nil }
 
 func (a *plainAnswer) resumable() bool { return !a.c.Response().Committed }
-
-func formatDigest(sum uint64) string { return strconv.FormatUint(sum, digestBase) }
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -125,8 +125,8 @@
 // callCommand sends one request and prints the answer. It fails unless the
 // status is as given; status 0 means that there is no whole answer.
 func callCommand(ts *testscript.TestScript, neg bool, args []string) {
-	const usage = "call STATUS METHOD URL [key=KEY] [body=FILE|TEXT] [id=ID]"
-	need(ts, neg, args, 3, 6, usage)
+	const usage = "call STATUS METHOD URL [key=KEY] [body=FILE|TEXT] [id=ID] [once=KEY]"
+	need(ts, neg, args, 3, 7, usage)
 	want, err := strconv.Atoi(args[0])
 	ts.Check(err)
 	options := parseOptions(ts, args[3:], usage)
@@ -143,6 +143,9 @@
 	if id := options["id"]; id != "" {
 		request.Header.Set("X-Request-Id", id)
 	}
+	if once := options["once"]; once != "" {
+		request.Header.Set("Idempotency-Key", once)
+	}
 	status, text := send(worldOf(ts), request)
 	_, err = ts.Stdout().Write(text)
 	ts.Check(err)
