Send cache news with answers, and bound what an entry remembers of caches

Cause: cache changes in heartbeats would take most of the 14 KB/s of control, and 65,536 blocks of each of 600 upstreams would take more than the 128 MB of a daemon. Before: news in heartbeats; unbounded in practice. Conclusion: an entry learns of a cache as often as it uses it.

--- a/bhcache/cache_test.go
+++ b/bhcache/cache_test.go
@@ -1,6 +1,7 @@
 package bhcache
 
 import (
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -26,7 +27,7 @@
 				log.Add(change)
 				truth[change.Hash] = change.Stored
 			}
-			changes, next := log.After(cursor)
+			changes, next := log.After(cursor, math.MaxInt)
 			require.LessOrEqual(t, cursor, next)
 			require.Equal(t, n > 2*LogSize, changes.Gap)
 			cursor = next
@@ -37,7 +38,7 @@
 				known[hash] = false
 			}
 			require.Equal(t, truth, known)
-			again, _ := log.After(cursor)
+			again, _ := log.After(cursor, math.MaxInt)
 			require.True(t, again.Empty())
 		}
 	})
@@ -69,7 +70,7 @@
 			}
 			assert.True(t, log.changes[0].Gap, "nothing is known at the start")
 			assert.Equal(t, test.gaps, gaps)
-			changes, _ := log.After(0)
+			changes, _ := log.After(0, math.MaxInt)
 			assert.Len(t, changes.Cached, test.cached)
 		})
 	}
@@ -86,3 +87,14 @@
 	follower.take(answer)
 	assert.True(t, follower.known)
 }
+
+func TestALimitedReaderGetsTheRestLater(t *testing.T) {
+	log := &Log{}
+	for i := range 10 {
+		log.Add(Change{Hash: uint64(i), Stored: true})
+	}
+	first, cursor := log.After(0, 4)
+	assert.Equal(t, []uint64{0, 1, 2, 3}, first.Cached)
+	second, _ := log.After(cursor, 100)
+	assert.Equal(t, []uint64{4, 5, 6, 7, 8, 9}, second.Cached)
+}
--- a/bhcache/log.go
+++ b/bhcache/log.go
@@ -70,15 +70,18 @@
 }
 
 // After returns what happened since the cursor, for each block its last state
-// only, and the cursor to go on from. A reader that is too late sees a gap.
-func (l *Log) After(cursor Cursor) (Changes, Cursor) {
+// only, and the cursor to go on from. It reads at most limit changes. A reader
+// that is too late sees a gap.
+func (l *Log) After(cursor Cursor, limit int) (Changes, Cursor) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	from := max(uint64(cursor), l.dropped)
 	changes := Changes{Gap: from > uint64(cursor)}
 	last := make(map[uint64]bool)
 	var order []uint64
-	for _, change := range l.changes[from-l.dropped:] {
+	unread := l.changes[from-l.dropped:]
+	unread = unread[:min(limit, len(unread))]
+	for _, change := range unread {
 		if change.Gap {
 			changes.Gap = true
 			continue
@@ -95,5 +98,5 @@
 			changes.Evicted = append(changes.Evicted, hash)
 		}
 	}
-	return changes, Cursor(l.dropped + uint64(len(l.changes)))
+	return changes, Cursor(from + uint64(len(unread)))
 }
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -135,8 +135,10 @@
 		if err != nil {
 			return err
 		}
-		done, err := lead(frame, answer)
-		if done || err != nil {
+		if frame.Kind == bhwire.KindEnd {
+			return e.finish(target, frame, answer)
+		}
+		if err := lead(frame, answer); err != nil {
 			return err
 		}
 		if !call.pending() {
@@ -145,27 +147,31 @@
 	}
 }
 
-// lead gives one frame to the answer and reports whether it was the last.
-func lead(frame bhwire.Frame, answer answer) (bool, error) {
+// lead gives one frame of the answer to the caller's side.
+func lead(frame bhwire.Frame, answer answer) error {
 	switch frame.Kind {
 	case bhwire.KindHead:
 		head, err := bhwire.Decode[bhwire.Head](frame)
 		if err != nil {
-			return true, err
+			return err
 		}
-		return false, answer.head(head)
+		return answer.head(head)
 	case bhwire.KindData:
-		return false, answer.data(frame.Body)
-	case bhwire.KindEnd:
-		end, err := bhwire.Decode[bhwire.End](frame)
-		if err != nil {
-			return true, err
-		}
-		if end.Code == int(bhcode.OK) {
-			return true, answer.end()
-		}
-		failure := bhcode.New(bhcode.Code(end.Code), "%s", end.Message)
-		return true, failure.WithRan(bhcode.Ran(end.Ran)).WithRetryAfter(end.Retry)
+		return answer.data(frame.Body)
+	}
+	return nil
+}
+
+// finish takes the end of an attempt, with the news of the upstream's cache.
+func (e *Entry) finish(target target, frame bhwire.Frame, answer answer) error {
+	end, err := bhwire.Decode[bhwire.End](frame)
+	if err != nil {
+		return err
+	}
+	if end.Code == int(bhcode.OK) {
+		e.fleet.table.Cache(target.upstream, bhroute.CacheChanges{Cached: end.Cached, Evicted: end.Evicted, Gap: end.Gap})
+		return answer.end()
 	}
-	return false, nil
+	failure := bhcode.New(bhcode.Code(end.Code), "%s", end.Message)
+	return failure.WithRan(bhcode.Ran(end.Ran)).WithRetryAfter(end.Retry)
 }
--- a/bhentry/fleet.go
+++ b/bhentry/fleet.go
@@ -22,6 +22,8 @@
 	redialInterval = 300 * time.Millisecond
 	// beatTimeout is the silence after which a sidecar gets no new work.
 	beatTimeout = 2 * time.Second
+	// prefixBlocks bounds the sampled prefix blocks known of each upstream.
+	prefixBlocks = 1024
 )
 
 type fleetConfig struct {
@@ -62,7 +64,11 @@
 		address:  make(map[string]string),
 		sidecars: make(map[string]*sidecar),
 	}
-	f.table = bhroute.NewTable(bhroute.Config{Centre: config.Link.Self.Centre, Usable: f.usable})
+	f.table = bhroute.NewTable(bhroute.Config{
+		Centre: config.Link.Self.Centre,
+		Usable: f.usable,
+		Blocks: prefixBlocks,
+	})
 	config.Mesh.Handle(bhwire.KindBeat, f.takeBeat)
 	return f
 }
@@ -195,9 +201,6 @@
 		Running:  load.Running,
 		Queued:   load.Queued,
 		Work:     load.Work,
-		Cached:   load.Cached,
-		Evicted:  load.Evicted,
-		Gap:      load.Gap,
 	}
 }
 
--- a/bhroute/candidate.go
+++ b/bhroute/candidate.go
@@ -21,16 +21,20 @@
 }
 
 func (c *candidate) take(now time.Time, report Report) {
-	if report.Gap {
-		c.prefixes.Gap(now)
-	}
-	c.prefixes.Evicted(report.Evicted)
-	c.prefixes.Cached(now, report.Cached)
-	report.Cached, report.Evicted = nil, nil
+	c.cache(now, report.CacheChanges)
+	report.CacheChanges = CacheChanges{}
 	c.report = report
 	c.refresh(now)
 }
 
+func (c *candidate) cache(now time.Time, changes CacheChanges) {
+	if changes.Gap {
+		c.prefixes.Gap(now)
+	}
+	c.prefixes.Evicted(changes.Evicted)
+	c.prefixes.Cached(now, changes.Cached)
+}
+
 // refresh drops the changes that the latest report includes.
 func (c *candidate) refresh(now time.Time) {
 	limit := now.Add(-ReportLag)
--- a/bhroute/prefix.go
+++ b/bhroute/prefix.go
@@ -15,8 +15,11 @@
 	AssumedTrust = 0.8
 	// MinTrust is the trust below which a block is forgotten.
 	MinTrust = 0.05
-	// MaxPrefixBlocks bounds the blocks known of one upstream.
-	MaxPrefixBlocks = 1 << 16
+	// DefaultPrefixBlocks bounds the blocks known of one upstream.
+	DefaultPrefixBlocks = 1 << 16
+
+	// forgetShare is the part of the blocks that goes when there are too many.
+	forgetShare = 8
 )
 
 type block struct {
@@ -32,11 +35,12 @@
 // Prefixes is what an entry believes of one upstream's prefix cache.
 type Prefixes struct {
 	blocks map[uint64]block
+	limit  int
 }
 
-// NewPrefixes returns an empty belief.
-func NewPrefixes() *Prefixes {
-	return &Prefixes{blocks: make(map[uint64]block)}
+// NewPrefixes returns an empty belief of at most limit blocks.
+func NewPrefixes(limit int) *Prefixes {
+	return &Prefixes{blocks: make(map[uint64]block), limit: limit}
 }
 
 // Cached records that the upstream reported blocks as cached.
@@ -94,21 +98,23 @@
 func (p *Prefixes) Len() int { return len(p.blocks) }
 
 func (p *Prefixes) put(now time.Time, hash uint64, trust float64) {
-	if _, ok := p.blocks[hash]; !ok && len(p.blocks) >= MaxPrefixBlocks {
+	if _, ok := p.blocks[hash]; !ok && len(p.blocks) >= p.limit {
 		p.forget(now)
 	}
 	p.blocks[hash] = block{trust: trust, since: now}
 }
 
-// forget removes blocks of little trust, and any block if there are none.
+// forget removes blocks of little trust, and any blocks until there is room
+// for many, so that its cost is spread over many puts.
 func (p *Prefixes) forget(now time.Time) {
+	room := p.limit - max(p.limit/forgetShare, 1)
 	for hash, b := range p.blocks {
 		if b.at(now) < MinTrust {
 			delete(p.blocks, hash)
 		}
 	}
 	for hash := range p.blocks {
-		if len(p.blocks) < MaxPrefixBlocks {
+		if len(p.blocks) <= room {
 			return
 		}
 		delete(p.blocks, hash)
--- a/bhroute/simulation_test.go
+++ b/bhroute/simulation_test.go
@@ -119,8 +119,9 @@
 func (e *simEngine) report(gap bool) Report {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	r := Report{Upstream: e.name, Host: e.name, Group: "g", Serving: true, Slots: simSlots, Gap: gap,
-		Running: len(e.running), Queued: len(e.waiting), Cached: e.cached, Evicted: e.evicted}
+	r := Report{Upstream: e.name, Host: e.name, Group: "g", Serving: true, Slots: simSlots,
+		Running: len(e.running), Queued: len(e.waiting),
+		CacheChanges: CacheChanges{Cached: e.cached, Evicted: e.evicted, Gap: gap}}
 	if gap {
 		r.Cached, r.Evicted = nil, nil
 	}
--- a/bhroute/table.go
+++ b/bhroute/table.go
@@ -31,10 +31,14 @@
 	Queued  int
 	// Work is the estimated live work in tokens, running and queued.
 	Work int64
-	// Cached and Evicted are changes of the prefix cache since the last report.
+	CacheChanges
+}
+
+// CacheChanges are changes of an upstream's prefix cache since the last ones.
+type CacheChanges struct {
 	Cached  []uint64
 	Evicted []uint64
-	// Gap says whether cache changes were lost since the last report.
+	// Gap says whether changes were lost in between.
 	Gap bool
 }
 
@@ -75,6 +79,9 @@
 	Centre string
 	// Policy chooses among upstreams; nil means Balanced.
 	Policy Policy
+	// Blocks bounds the prefix blocks known of each upstream; zero means
+	// DefaultPrefixBlocks.
+	Blocks int
 	// Usable says whether requests can be sent to a host now; nil means always.
 	Usable func(host string) bool
 	// Random is the source of random choices; nil means a seeded one.
@@ -89,6 +96,7 @@
 	policy     Policy
 	random     *rand.Rand
 	usable     func(host string) bool
+	blocks     int
 	candidates map[string]*candidate
 	order      []*candidate
 }
@@ -104,8 +112,12 @@
 	if config.Usable == nil {
 		config.Usable = func(string) bool { return true }
 	}
+	if config.Blocks == 0 {
+		config.Blocks = DefaultPrefixBlocks
+	}
 	return &Table{
 		usable:     config.Usable,
+		blocks:     config.Blocks,
 		centre:     config.Centre,
 		policy:     config.Policy,
 		random:     config.Random,
@@ -120,7 +132,7 @@
 	now := time.Now()
 	c := t.candidates[report.Upstream]
 	if c == nil {
-		c = &candidate{prefixes: NewPrefixes()}
+		c = &candidate{prefixes: NewPrefixes(t.blocks)}
 		t.candidates[report.Upstream] = c
 		t.order = append(t.order, c)
 		c.report.Upstream = report.Upstream
@@ -129,6 +141,15 @@
 	c.take(now, report)
 }
 
+// Cache takes changes of an upstream's prefix cache into account.
+func (t *Table) Cache(upstream string, changes CacheChanges) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if c := t.candidates[upstream]; c != nil {
+		c.cache(time.Now(), changes)
+	}
+}
+
 // Refresh records that nothing changed on the host since its last reports.
 func (t *Table) Refresh(host string) {
 	t.mutex.Lock()
--- a/bhroute/table_test.go
+++ b/bhroute/table_test.go
@@ -118,7 +118,7 @@
 
 func TestTrustInPrefixFalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		p := NewPrefixes()
+		p := NewPrefixes(DefaultPrefixBlocks)
 		prefix := []uint64{1, 2, 3}
 		p.Cached(time.Now(), prefix)
 		require.InDelta(t, 3, p.Saved(time.Now(), prefix), 0.01)
@@ -135,12 +135,12 @@
 }
 
 func TestPrefixesAreBounded(t *testing.T) {
-	p := NewPrefixes()
+	p := NewPrefixes(DefaultPrefixBlocks)
 	now := time.Now()
-	for i := range uint64(MaxPrefixBlocks + 100) {
+	for i := range uint64(DefaultPrefixBlocks + 100) {
 		p.Cached(now, []uint64{i})
 	}
-	require.LessOrEqual(t, p.Len(), MaxPrefixBlocks)
+	require.LessOrEqual(t, p.Len(), DefaultPrefixBlocks)
 }
 
 func TestNearCentreIsPreferredAtEqualLoad(t *testing.T) {
--- a/bhsidecar/control.go
+++ b/bhsidecar/control.go
@@ -7,7 +7,6 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/baobabhaven/baobabhaven/bhcache"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -33,16 +32,10 @@
 	sidecar *Sidecar
 	link    *bhlink.Session
 	sent    map[string]bhwire.Load
-	cursors map[*bhcache.Log]bhcache.Cursor
 }
 
 func (s *Sidecar) beat(ctx context.Context, session *bhlink.Session) error {
-	heart := &heart{
-		sidecar: s,
-		link:    session,
-		sent:    make(map[string]bhwire.Load),
-		cursors: make(map[*bhcache.Log]bhcache.Cursor),
-	}
+	heart := &heart{sidecar: s, link: session, sent: make(map[string]bhwire.Load)}
 	return heart.beats(ctx)
 }
 
@@ -74,28 +67,16 @@
 		Config:  h.sidecar.store.Version(),
 	}
 	for _, upstream := range h.sidecar.upstreams.list() {
-		if load, changed := h.load(upstream); changed {
-			beat.Loads = append(beat.Loads, load)
+		load := upstream.load()
+		if sent, ok := h.sent[load.Upstream]; ok && sameLoad(sent, load) {
+			continue
 		}
+		h.sent[load.Upstream] = load
+		beat.Loads = append(beat.Loads, load)
 	}
 	return beat
 }
 
-// load returns the upstream's load and whether it changed since the last beat.
-func (h *heart) load(upstream *upstream) (bhwire.Load, bool) {
-	load := upstream.load()
-	sent, ok := h.sent[load.Upstream]
-	changed := !ok || !sameLoad(sent, load)
-	h.sent[load.Upstream] = load
-	if upstream.cache == nil {
-		return load, changed
-	}
-	changes, next := upstream.cache.After(h.cursors[upstream.cache])
-	h.cursors[upstream.cache] = next
-	load.Cached, load.Evicted, load.Gap = changes.Cached, changes.Evicted, changes.Gap
-	return load, changed || !changes.Empty()
-}
-
 func sameLoad(a, b bhwire.Load) bool {
 	return a.Serving == b.Serving && a.Slots == b.Slots && a.Running == b.Running &&
 		a.Queued == b.Queued && a.Work == b.Work && slices.Equal(a.Models, b.Models)
--- a/bhsidecar/live.go
+++ b/bhsidecar/live.go
@@ -4,11 +4,15 @@
 	"context"
 	"sync"
 
+	"github.com/baobabhaven/baobabhaven/bhcache"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
+// maxCacheChanges bounds the cache changes that one end carries.
+const maxCacheChanges = 64
+
 // liveSession runs the requests that one entry submits.
 type liveSession struct {
 	sidecar *Sidecar
@@ -16,11 +20,17 @@
 
 	mu      sync.Mutex
 	streams map[uint64]*stream
+	cursors map[*bhcache.Log]bhcache.Cursor
 	running sync.WaitGroup
 }
 
 func newLiveSession(sidecar *Sidecar, link *bhlink.Session) *liveSession {
-	return &liveSession{sidecar: sidecar, link: link, streams: make(map[uint64]*stream)}
+	return &liveSession{
+		sidecar: sidecar,
+		link:    link,
+		streams: make(map[uint64]*stream),
+		cursors: make(map[*bhcache.Log]bhcache.Cursor),
+	}
 }
 
 // run handles frames until the session ends, then cancels its streams: their
@@ -94,3 +104,13 @@
 	defer l.mu.Unlock()
 	delete(l.streams, id)
 }
+
+// cacheChanges returns what happened in a cache since the session's last end
+// for its upstream, bounded for one frame.
+func (l *liveSession) cacheChanges(log *bhcache.Log) bhcache.Changes {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	changes, next := log.After(l.cursors[log], maxCacheChanges)
+	l.cursors[log] = next
+	return changes
+}
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -80,7 +80,7 @@
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return bhwire.End{Ran: string(bhcode.RanYes)}
+			return s.whole(upstream)
 		}
 		if err != nil {
 			return s.failed(ctx, upstream, asRan(err))
@@ -88,6 +88,16 @@
 	}
 }
 
+// whole is the end of a whole answer, with the news of the upstream's cache.
+func (s *stream) whole(upstream *upstream) bhwire.End {
+	end := bhwire.End{Ran: string(bhcode.RanYes)}
+	if upstream.cache != nil && upstream.config.Name == s.submit.Upstream {
+		changes := s.session.cacheChanges(upstream.cache)
+		end.Cached, end.Evicted, end.Gap = changes.Cached, changes.Evicted, changes.Gap
+	}
+	return end
+}
+
 func (s *stream) data(ctx context.Context, data []byte) error {
 	for len(data) > 0 {
 		n, err := s.credit.take(ctx, len(data))
--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -85,15 +85,6 @@
 
 // Load is the state of one upstream as its sidecar sees it.
 type Load struct {
-	// Prefix block hashes that entered the cache since the last beat.
-	Cached []uint64 `json:"cached,omitempty,omitzero"`
-
-	// Prefix block hashes that left the cache since the last beat.
-	Evicted []uint64 `json:"evicted,omitempty,omitzero"`
-
-	// Whether cache events were lost since the last beat.
-	Gap bool `json:"gap,omitempty,omitzero"`
-
 	// Group of the upstream.
 	Group string `json:"group"`
 
--- a/bhwire/live.go
+++ b/bhwire/live.go
@@ -13,12 +13,22 @@
 
 // End closes a stream. Code 0 means that the answer is whole.
 type End struct {
+	// Sampled prefix block hashes that entered the upstream's cache since the last
+	// end on this session.
+	Cached []uint64 `json:"cached,omitempty,omitzero"`
+
 	// Result code.
 	Code int `json:"code"`
 
 	// Whether the upstream died while it ran the request.
 	Crashed bool `json:"crashed"`
 
+	// Sampled prefix block hashes that left the upstream's cache since then.
+	Evicted []uint64 `json:"evicted,omitempty,omitzero"`
+
+	// Whether cache changes were lost since then.
+	Gap bool `json:"gap,omitempty,omitzero"`
+
 	// Sentence for people.
 	Message string `json:"message"`
 
