Give up the live sessions of silent sidecars; add fault scenarios

Cause: a request in flight on a paused sidecar waited until its caller gave up (the load's 60 s), since an entry only kept new work from silent sidecars. Now an entry ends the session after the heartbeat timeout, so that requests that may run again go on elsewhere and the others end with an unknown outcome. An entry that was paused itself passes over a round, as heartbeats may still wait to be read.

Scenarios: kill of an engine mid-stream, pause of a sidecar, graceful stop of an entry and of a sidecar under load with no request failed.

--- a/bhcmd/load.go
+++ b/bhcmd/load.go
@@ -74,7 +74,8 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	result := bhload.Run(ctx, strings.TrimSuffix(options.URL, "/"), config)
+	sent := func() { fmt.Fprintln(factory.Streams.Err, "every request is sent") }
+	result := bhload.Run(ctx, strings.TrimSuffix(options.URL, "/"), config, sent)
 	if err := printLoad(factory.Streams.Out, options.JSON, result); err != nil {
 		return err
 	}
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -109,6 +109,7 @@
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
 	tree.AddRestarted("claims", e.once.Run)
+	tree.AddRestarted("watch", e.fleet.watch)
 	tree.AddRestarted("announce", e.announce)
 	tree.Add("drain", func(inner context.Context) error {
 		select {
--- a/bhentry/livelink.go
+++ b/bhentry/livelink.go
@@ -72,6 +72,13 @@
 	}
 }
 
+// total returns the open calls.
+func (l *liveLink) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.calls)
+}
+
 // submit sends the request. On an error it was certainly not sent.
 func (l *liveLink) submit(ctx context.Context, submit bhwire.Submit) (*call, error) {
 	call, err := l.open()
--- a/bhload/load_test.go
+++ b/bhload/load_test.go
@@ -78,7 +78,7 @@
 	defer engine.Close()
 	chat := stream
 	chat.Class = ClassChat
-	result := Run(context.Background(), engine.URL, newConfig(stream, chat))
+	result := Run(context.Background(), engine.URL, newConfig(stream, chat), nil)
 	assert.True(t, result.Clean(), "%v", result.Messages)
 	assert.Equal(t, int64(result.All.Sent), result.All.First.Count)
 	assert.NotZero(t, result.All.Between.Count)
@@ -86,7 +86,7 @@
 
 	plain := httptest.NewServer(bhstand.NewPlain(bhstand.PlainConfig{}))
 	defer plain.Close()
-	result = Run(context.Background(), plain.URL, newConfig(Kind{Class: ClassPlain, Path: "/p"}))
+	result = Run(context.Background(), plain.URL, newConfig(Kind{Class: ClassPlain, Path: "/p"}), nil)
 	assert.True(t, result.Clean(), "%v", result.Messages)
 }
 
--- a/bhload/run.go
+++ b/bhload/run.go
@@ -9,39 +9,45 @@
 )
 
 // Run puts the load on the entry at the base URL and returns once every request
-// has ended. When ctx ends, no more requests are sent and those that run are
-// cancelled.
-func Run(ctx context.Context, base string, config Config) Result {
+// has ended. It calls sent, if not nil, when the last request has been sent.
+// When ctx ends, no more requests are sent and those that run are cancelled.
+func Run(ctx context.Context, base string, config Config, sent func()) Result {
 	client := newClient(base, time.Duration(config.Timeout))
 	defer client.http.CloseIdleConnections()
 	recorder := newRecorder()
 	start := time.Now()
-	var group sync.WaitGroup
+	var senders, requests sync.WaitGroup
 	for index := range config.Accounts {
-		group.Go(func() { send(ctx, client, recorder, NewSchedule(config, index), start) })
+		senders.Go(func() {
+			send(ctx, NewSchedule(config, index), start, func(request Request, due time.Time) {
+				requests.Go(func() { recorder.add(request, client.do(ctx, request, due)) })
+			})
+		})
 	}
-	group.Wait()
+	senders.Wait()
+	if sent != nil {
+		sent()
+	}
+	requests.Wait()
 	result := recorder.result()
 	result.Seed = config.Seed
 	result.Elapsed = bhconf.Duration(time.Since(start))
 	return result
 }
 
-// send sends one account's requests when they are due, whatever became of the
+// send starts one account's requests when they are due, whatever became of the
 // earlier ones.
-func send(ctx context.Context, client *client, recorder *recorder, schedule *Schedule, start time.Time) {
-	var group sync.WaitGroup
-	defer group.Wait()
+func send(ctx context.Context, schedule *Schedule, begin time.Time, start func(Request, time.Time)) {
 	for {
 		request, ok := schedule.Next()
 		if !ok {
 			return
 		}
-		due := start.Add(request.At)
+		due := begin.Add(request.At)
 		if !sleepUntil(ctx, due) {
 			return
 		}
-		group.Go(func() { recorder.add(request, client.do(ctx, request, due)) })
+		start(request, due)
 	}
 }
 
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"io"
 	"net/http"
 	"regexp"
@@ -10,6 +11,8 @@
 	"syscall"
 
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
 var signals = map[string]syscall.Signal{
@@ -179,3 +182,33 @@
 	}
 	return options
 }
+
+// onceCommand fails if a request with a method that may not be repeated ran
+// more than once on the plain services together.
+func onceCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 10, "once METHOD URL...")
+	runs := make(map[string]int)
+	for _, url := range args[1:] {
+		request, err := http.NewRequest(http.MethodGet, url+bhstand.PathStats, nil)
+		ts.Check(err)
+		status, body := send(worldOf(ts), request)
+		if status != http.StatusOK {
+			ts.Fatalf("%s: status %d", url, status)
+		}
+		var stats bhstand.PlainStats
+		ts.Check(json.Unmarshal(body, &stats))
+		for name, count := range stats.Runs {
+			if strings.HasPrefix(name, args[0]+" ") {
+				runs[name] += count
+			}
+		}
+	}
+	if len(runs) == 0 {
+		ts.Fatalf("no %s ran", args[0])
+	}
+	for name, count := range runs {
+		if count > 1 {
+			ts.Fatalf("%s ran %d times", name, count)
+		}
+	}
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -45,6 +45,7 @@
 			"finish": finishCommand,
 			"switch": switchCommand,
 			"call":   callCommand,
+			"once":   onceCommand,
 		},
 	})
 }
