Count a refused connection against an upstream and don't budget the first failover

The first retry after a failed upstream is now free; breakers bound those, and budgets bound refusals and further retries.

--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -53,14 +53,18 @@
 		submit.Upstream = target.upstream
 		e.fleet.table.Sent(target.upstream, request)
 		last = e.attempt(ctx, target, submit, answer)
-		e.fleet.table.Finished(target.upstream, request, outcomeOf(last))
+		outcome := outcomeOf(last)
+		e.fleet.table.Finished(target.upstream, request, outcome)
 		if last == nil {
 			return nil
 		}
 		if cause := revocation(ctx); cause != nil {
 			return cause
 		}
-		if ctx.Err() != nil || !mayRetry(last, submit.Idempotent, answer) || !e.budgets.Spend(submit.Group) {
+		if ctx.Err() != nil || !mayRetry(last, submit.Idempotent, answer) {
+			return last
+		}
+		if spendsBudget(submit.Attempt, outcome) && !e.budgets.Spend(submit.Group) {
 			return last
 		}
 		request.Exclude = append(request.Exclude, target.upstream)
@@ -69,13 +73,20 @@
 	return last
 }
 
+// spendsBudget reports whether a retry after the attempt takes from the retry
+// budget. The first retry after a failed upstream doesn't: an engine that dies
+// ends all its requests at once, and the breaker bounds how many it gets.
+func spendsBudget(attempt int, outcome bhroute.Outcome) bool {
+	return attempt > 1 || outcome != bhroute.Failed
+}
+
 // outcomeOf says what the end of an attempt tells of its upstream's health.
 func outcomeOf(err error) bhroute.Outcome {
 	if err == nil {
 		return bhroute.Succeeded
 	}
 	switch bhcode.From(err).Code {
-	case bhcode.UpstreamFailed, bhcode.UpstreamLost, bhcode.AnswerIncomplete:
+	case bhcode.UpstreamFailed, bhcode.UpstreamLost, bhcode.AnswerIncomplete, bhcode.NoUpstream:
 		return bhroute.Failed
 	}
 	return bhroute.Neutral
--- /dev/null
+++ b/bhentry/dispatch_test.go
@@ -0,0 +1,32 @@
+package bhentry
+
+import (
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhroute"
+)
+
+func TestOutcomeOfTellsOfTheUpstreamsHealth(t *testing.T) {
+	assert.Equal(t, bhroute.Succeeded, outcomeOf(nil))
+	for code, want := range map[bhcode.Code]bhroute.Outcome{
+		bhcode.UpstreamFailed:   bhroute.Failed,
+		bhcode.UpstreamLost:     bhroute.Failed,
+		bhcode.AnswerIncomplete: bhroute.Failed,
+		bhcode.NoUpstream:       bhroute.Failed,
+		bhcode.Overloaded:       bhroute.Neutral,
+		bhcode.Leaving:          bhroute.Neutral,
+		bhcode.Cancelled:        bhroute.Neutral,
+	} {
+		assert.Equal(t, want, outcomeOf(errors.WithStack(bhcode.New(code, ""))), code)
+	}
+}
+
+func TestFirstRetryAfterAFailedUpstreamIsFree(t *testing.T) {
+	assert.False(t, spendsBudget(1, bhroute.Failed))
+	assert.True(t, spendsBudget(2, bhroute.Failed))
+	assert.True(t, spendsBudget(1, bhroute.Neutral))
+}
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"os"
 	"regexp"
 	"strconv"
 	"strings"
@@ -22,6 +23,9 @@
 	"CONT": syscall.SIGCONT,
 }
 
+// outputShown is how much of a failed process's output is shown, in bytes.
+const outputShown = 8 << 10
+
 // need ends the scenario unless there are between least and most arguments.
 func need(ts *testscript.TestScript, neg bool, args []string, least, most int, usage string) {
 	if neg || len(args) < least || len(args) > most {
@@ -109,7 +113,9 @@
 		ts.Fatalf("%s did not end", args[0])
 	}
 	if p.code != want {
-		ts.Fatalf("%s ended with %d", args[0], p.code)
+		text, err := os.ReadFile(p.output)
+		ts.Check(err)
+		ts.Fatalf("%s ended with %d:\n%s", args[0], p.code, text[max(0, len(text)-outputShown):])
 	}
 }
 
