Take heartbeats in without holding the fleet's lock on the table's

Choosing an upstream held the table's lock and asked the fleet for its own; a heartbeat took them the other way round.

--- a/bhentry/fleet.go
+++ b/bhentry/fleet.go
@@ -161,16 +161,31 @@
 	return s
 }
 
+// takeBeat takes in a heartbeat. It calls the table without holding mu, since
+// the table asks usable while it chooses.
 func (f *fleet) takeBeat(peer bhwire.Hello, frame bhwire.Frame) error {
 	beat, err := bhwire.Decode[bhwire.Beat](frame)
 	if err != nil {
 		return err
 	}
+	if !f.note(peer, beat) {
+		return nil
+	}
+	for _, load := range beat.Loads {
+		f.table.Report(reportOf(peer, load))
+	}
+	f.table.Refresh(peer.Host)
+	return nil
+}
+
+// note keeps what the heartbeat says of its sidecar. It reports false if the
+// heartbeat is from an earlier start of the sidecar.
+func (f *fleet) note(peer bhwire.Hello, beat bhwire.Beat) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sidecar(peer.Host)
 	if peer.Incarnation < s.incarnation {
-		return nil
+		return false
 	}
 	if peer.Incarnation > s.incarnation || beat.Count == 1 {
 		clear(s.loads)
@@ -183,10 +198,8 @@
 	s.leaving = beat.Leaving
 	for _, load := range beat.Loads {
 		s.loads[load.Upstream] = load
-		f.table.Report(reportOf(peer, load))
 	}
-	f.table.Refresh(peer.Host)
-	return nil
+	return true
 }
 
 func reportOf(peer bhwire.Hello, load bhwire.Load) bhroute.Report {
--- /dev/null
+++ b/bhentry/fleet_test.go
@@ -0,0 +1,48 @@
+package bhentry
+
+import (
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhmesh"
+	"github.com/baobabhaven/baobabhaven/bhroute"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+// Heartbeats and choices go on side by side; each uses the locks of both the
+// fleet and its table. With the locks taken in two orders this never ends.
+func TestHeartbeatsAndChoicesDoNotBlockEachOther(t *testing.T) {
+	const rounds = 20_000
+	mesh := bhmesh.New(bhmesh.Config{Logger: bhlog.Nop()})
+	f := newFleet(fleetConfig{Mesh: mesh, Logger: bhlog.Nop()})
+	peer := bhwire.Hello{Host: "s", Role: "sidecar", Incarnation: 1}
+	load := bhwire.Load{Upstream: "u", Group: "g", Serving: true, Slots: 1}
+	frame, err := bhwire.Encode(bhwire.KindBeat, 0, bhwire.Beat{Count: 2, Loads: []bhwire.Load{load}})
+	require.NoError(t, err)
+	require.NoError(t, f.takeBeat(peer, frame))
+	var group sync.WaitGroup
+	group.Go(func() {
+		for range rounds {
+			assert.NoError(t, f.takeBeat(peer, frame))
+		}
+	})
+	group.Go(func() {
+		for range rounds {
+			_, err := f.pick(bhroute.Request{Group: "g"}, "id")
+			assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "%v", err)
+		}
+	})
+	group.Wait()
+}
+
+func TestHeartbeatOfAnEarlierStartIsPassedOver(t *testing.T) {
+	f := newFleet(fleetConfig{Mesh: bhmesh.New(bhmesh.Config{Logger: bhlog.Nop()}), Logger: bhlog.Nop()})
+	assert.True(t, f.note(bhwire.Hello{Host: "s", Incarnation: 2}, bhwire.Beat{Count: 1}))
+	assert.False(t, f.note(bhwire.Hello{Host: "s", Incarnation: 1}, bhwire.Beat{Count: 1, Leaving: true}))
+	assert.False(t, f.sidecars["s"].leaving)
+}
