Spread the configuration and revoked keys among hosts

Found on the way: an entry that was cut off in an outage trusted the table as soon as it came back, before others had recorded the revocation there. Contact through the table alone now counts only after 5 s of answers.

--- a/bhkey/revocations.go
+++ b/bhkey/revocations.go
@@ -10,6 +10,7 @@
 	mu      sync.Mutex
 	known   map[string]bool
 	ordered []string
+	sum     uint64
 	changed chan struct{}
 }
 
@@ -25,9 +26,11 @@
 	defer r.mu.Unlock()
 	var added []string
 	for _, digest := range digests {
-		if r.known[digest] || !ValidDigest(digest) {
+		parsed, ok := parseDigest(digest)
+		if !ok || r.known[digest] {
 			continue
 		}
+		r.sum ^= bucketOf(parsed)
 		r.known[digest] = true
 		added = append(added, digest)
 	}
@@ -66,6 +69,14 @@
 	return len(r.ordered)
 }
 
+// Sum returns the number of digests and the exclusive or of their first eight
+// bytes. Sets with the same sum are the same.
+func (r *Revocations) Sum() (count int, sum uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.ordered), r.sum
+}
+
 // Watch returns a channel that is closed at the next addition.
 func (r *Revocations) Watch() <-chan struct{} {
 	r.mu.Lock()
--- /dev/null
+++ b/bhsync/fake_test.go
@@ -0,0 +1,193 @@
+package bhsync
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
+)
+
+// fakePlatform is a table, an object store and a host list in memory with faults.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rows    map[string]bhplatform.Row
+	count   bhplatform.Version
+	objects map[string][]byte
+	hosts   []bhplatform.Host
+	reads   int
+	writes  int
+
+	down  bool
+	delay time.Duration
+	// loseReply makes that many commits take effect and answer Unknown. dropLate
+	// makes that many answer Unknown and take effect only lateBy afterwards.
+	loseReply, dropLate int
+	lateBy              time.Duration
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{
+		rows:    make(map[string]bhplatform.Row),
+		objects: make(map[string][]byte),
+		delay:   5 * time.Millisecond,
+	}
+}
+
+func (p *fakePlatform) set(change func(*fakePlatform)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(p)
+}
+
+// view is the platform as one host sees it.
+type view struct {
+	*fakePlatform
+	// blocked says whether the host is cut off from the platform; gate blocks
+	// while the host is frozen. Both may be nil.
+	blocked func() bool
+	gate    func()
+}
+
+func (v *view) platform() bhplatform.Platform {
+	return bhplatform.Platform{Table: v, Objects: (*fakeObjects)(v), Hosts: v}
+}
+
+// call waits for the table's answer and reports whether one came.
+func (v *view) call(ctx context.Context, operation func()) error {
+	v.mu.Lock()
+	down, delay := v.down, v.delay
+	v.mu.Unlock()
+	if v.blocked != nil && v.blocked() {
+		down = true
+	}
+	if down {
+		wait(ctx, delay)
+		return bhcode.New(bhcode.PlatformUnavailable, "down")
+	}
+	wait(ctx, delay/2)
+	v.mu.Lock()
+	operation()
+	v.mu.Unlock()
+	wait(ctx, delay/2)
+	if v.gate != nil {
+		v.gate()
+	}
+	if ctx.Err() != nil {
+		return bhcode.Wrap(ctx.Err(), bhcode.PlatformUnknown, "late")
+	}
+	return nil
+}
+
+func (v *view) Get(ctx context.Context, key string) (bhplatform.Row, error) {
+	var row bhplatform.Row
+	found := false
+	err := v.call(ctx, func() { row, found = v.rows[key]; v.reads++ })
+	if err == nil && !found {
+		err = bhcode.New(bhcode.NotFound, "%s", key)
+	}
+	return row, err
+}
+
+func (v *view) List(ctx context.Context, prefix, after string, limit int) ([]bhplatform.Row, error) {
+	var rows []bhplatform.Row
+	err := v.call(ctx, func() {
+		v.reads++
+		for key, row := range v.rows {
+			if strings.HasPrefix(key, prefix) && key > after {
+				rows = append(rows, row)
+			}
+		}
+		slices.SortFunc(rows, func(a, b bhplatform.Row) int { return strings.Compare(a.Key, b.Key) })
+		rows = rows[:min(limit, len(rows))]
+	})
+	return rows, err
+}
+
+func (v *view) Commit(ctx context.Context, writes ...bhplatform.Write) ([]bhplatform.Version, error) {
+	var versions []bhplatform.Version
+	var outcome error
+	err := v.call(ctx, func() {
+		v.writes++
+		if v.dropLate > 0 {
+			v.dropLate--
+			outcome = bhcode.New(bhcode.PlatformUnknown, "no reply")
+			time.AfterFunc(v.lateBy, func() {
+				v.mu.Lock()
+				defer v.mu.Unlock()
+				_, _ = v.commit(writes)
+			})
+			return
+		}
+		versions, outcome = v.commit(writes)
+		if v.loseReply > 0 {
+			v.loseReply--
+			outcome = bhcode.New(bhcode.PlatformUnknown, "reply lost")
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	return versions, outcome
+}
+
+func (p *fakePlatform) commit(writes []bhplatform.Write) ([]bhplatform.Version, error) {
+	for _, write := range writes {
+		if write.Expect != bhplatform.Any && p.rows[write.Key].Version != write.Expect {
+			return nil, bhcode.New(bhcode.PlatformConflict, "%s", write.Key)
+		}
+	}
+	versions := make([]bhplatform.Version, len(writes))
+	for i, write := range writes {
+		switch {
+		case write.Check:
+		case write.Delete:
+			delete(p.rows, write.Key)
+		default:
+			p.count++
+			versions[i] = p.count
+			p.rows[write.Key] = bhplatform.Row{Key: write.Key, Value: write.Value, Version: p.count}
+		}
+	}
+	return versions, nil
+}
+
+func (v *view) Hosts(ctx context.Context) ([]bhplatform.Host, error) {
+	var hosts []bhplatform.Host
+	err := v.call(ctx, func() { hosts = slices.Clone(v.hosts); v.reads++ })
+	return hosts, err
+}
+
+func (v *view) Announce(context.Context, bhplatform.Host) error { return nil }
+
+type fakeObjects view
+
+func (o *fakeObjects) Put(ctx context.Context, name string, body io.Reader) error {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		return err
+	}
+	return (*view)(o).call(ctx, func() { o.objects[name] = data; o.writes++ })
+}
+
+func (o *fakeObjects) Get(ctx context.Context, name string, offset int64) (io.ReadCloser, error) {
+	var data []byte
+	found := false
+	err := (*view)(o).call(ctx, func() { data, found = o.objects[name]; o.reads++ })
+	if err == nil && !found {
+		err = bhcode.New(bhcode.NotFound, "%s", name)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return io.NopCloser(bytes.NewReader(data[offset:])), nil
+}
+
+func (o *fakeObjects) Delete(ctx context.Context, name string) error {
+	return (*view)(o).call(ctx, func() { delete(o.objects, name) })
+}
--- a/bhsync/snapshot.go
+++ b/bhsync/snapshot.go
@@ -4,10 +4,15 @@
 package bhsync
 
 import (
+	"encoding/json"
 	"strings"
+	"sync"
+
+	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhkey"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 // Snapshot is one version of the configuration with its lookup tables. It
@@ -25,6 +30,7 @@
 	upstreams map[string]bhconf.Upstream
 	members   map[string][]bhconf.Upstream
 	hosts     map[string][]bhconf.Upstream
+	whole     func() (bhwire.Config, error)
 }
 
 // NewSnapshot returns the snapshot of config as the given version.
@@ -46,6 +52,7 @@
 		members:   make(map[string][]bhconf.Upstream),
 		hosts:     make(map[string][]bhconf.Upstream),
 	}
+	s.whole = sync.OnceValues(s.encode)
 	for _, upstream := range config.Upstreams {
 		s.members[upstream.Group] = append(s.members[upstream.Group], upstream)
 		s.hosts[upstream.Host] = append(s.hosts[upstream.Host], upstream)
@@ -53,6 +60,17 @@
 	return s, nil
 }
 
+// Whole returns the message that carries the whole snapshot.
+func (s *Snapshot) Whole() (bhwire.Config, error) { return s.whole() }
+
+func (s *Snapshot) encode() (bhwire.Config, error) {
+	body, err := json.Marshal(s.Config)
+	if err != nil {
+		return bhwire.Config{}, errors.Wrap(err, "configuration")
+	}
+	return bhwire.Config{Version: s.Version, Digest: s.Digest, Body: body}, nil
+}
+
 // Account returns the client account with the name.
 func (s *Snapshot) Account(name string) (bhconf.Account, bool) {
 	account, ok := s.accounts[name]
--- a/bhsync/store.go
+++ b/bhsync/store.go
@@ -15,8 +15,14 @@
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-// DefaultTrust is how long a host trusts its keys without contact.
-const DefaultTrust = 5 * time.Second
+const (
+	// DefaultTrust is how long a host trusts its keys without contact.
+	DefaultTrust = 5 * time.Second
+	// rejoinWait is how long a host that lost contact reads the table before
+	// that counts as contact. By then the other entries have recorded the
+	// revocations of an outage.
+	rejoinWait = 5 * time.Second
+)
 
 // keptChanges is the number of changes kept in memory for peers.
 const keptChanges = 64
@@ -27,9 +33,6 @@
 	// Trust is how long keys are trusted after the last contact with the table
 	// or another entry; zero means DefaultTrust.
 	Trust time.Duration
-	// Alone says that no other entry is known, so that no revocation can reach
-	// the fleet without this host. May be nil.
-	Alone func() bool
 }
 
 // Store holds the configuration in force on a host and the revoked keys.
@@ -41,8 +44,13 @@
 	current atomic.Pointer[Snapshot]
 	// contact is when the last answered question was sent.
 	contact atomic.Pointer[time.Time]
+	// alone is whether no other entry is known.
+	alone atomic.Bool
+
+	mu sync.Mutex
+	// tableFirst and tableLast span the table's answers without a long gap.
+	tableFirst, tableLast time.Time
 
-	mu      sync.Mutex
 	changes []bhwire.Config
 	changed chan struct{}
 }
@@ -122,8 +130,8 @@
 	return []bhwire.Config{whole}, err
 }
 
-// Confirm records that the table or another entry answered a question that was
-// sent at the given time, so that what it knew has reached this host.
+// Confirm records that another entry answered a question that was sent at the
+// given time, so that what it knew has reached this host.
 func (s *Store) Confirm(sent time.Time) {
 	for {
 		last := s.contact.Load()
@@ -136,9 +144,30 @@
 	}
 }
 
+// ConfirmTable records that the table answered a question that was sent at the
+// given time. That keeps up contact. It makes contact anew only after a wait,
+// since the table may not have the revocations of an outage yet.
+func (s *Store) ConfirmTable(sent time.Time) {
+	s.mu.Lock()
+	if sent.Sub(s.tableLast) > s.config.Trust {
+		s.tableFirst = sent
+	}
+	s.tableLast = sent
+	settled := sent.Sub(s.tableFirst) >= rejoinWait
+	s.mu.Unlock()
+	last := s.contact.Load()
+	if settled || last != nil && sent.Sub(*last) <= s.config.Trust {
+		s.Confirm(sent)
+	}
+}
+
+// SetAlone says whether this is the only entry, so that no revocation can
+// enter the fleet anywhere else. Its keys are then always trusted.
+func (s *Store) SetAlone(alone bool) { s.alone.Store(alone) }
+
 // Trusted reports whether this host may still rely on its keys at now.
 func (s *Store) Trusted(now time.Time) bool {
-	if s.config.Alone != nil && s.config.Alone() {
+	if s.alone.Load() {
 		return true
 	}
 	last := s.contact.Load()
@@ -190,15 +219,6 @@
 	bhlog.Event(s.config.Logger, "config.force", "version", next.Version, "digest", next.Digest)
 }
 
-// Whole returns the message that carries the whole snapshot.
-func (s *Snapshot) Whole() (bhwire.Config, error) {
-	body, err := json.Marshal(s.Config)
-	if err != nil {
-		return bhwire.Config{}, errors.Wrap(err, "configuration")
-	}
-	return bhwire.Config{Version: s.Version, Digest: s.Digest, Body: body}, nil
-}
-
 // resolve returns the configuration that message leads to. It doesn't fit if
 // message is a change of another version than current.
 func resolve(current *Snapshot, message bhwire.Config) (config bhconf.Config, fits bool, err error) {
--- a/bhsync/store_test.go
+++ b/bhsync/store_test.go
@@ -216,7 +216,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
-				store := NewStore(StoreConfig{Alone: func() bool { return true }})
+				store := NewStore(StoreConfig{})
+				store.SetAlone(true)
 				_, err := store.Apply(wholeOf(t, 1, testConfig(2)))
 				require.NoError(t, err)
 				running := NewRunning(store)
--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -79,6 +79,12 @@
 	// Number of the probe answered; 0 if none was.
 	Count uint64 `json:"count"`
 
+	// Number of revoked keys known to the sender.
+	Revoked int `json:"revoked"`
+
+	// Exclusive or of the first eight bytes of their digests.
+	Sum uint64 `json:"sum"`
+
 	// Version in force; 0 for none.
 	Version int64 `json:"version"`
 }
