--- /dev/null
+++ b/bhconf/settings_page_test.go
@@ -0,0 +1,28 @@
+package bhconf
+
+import (
+	"os"
+	"reflect"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// docs/SETTINGS.md lists exactly the fields of Settings.
+func TestSettingsPageMatchesTheCode(t *testing.T) {
+	page, err := os.ReadFile("../docs/SETTINGS.md")
+	require.NoError(t, err)
+	var listed, fields []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z]+)` \\|").FindAllStringSubmatch(string(page), -1) {
+		listed = append(listed, row[1])
+	}
+	settings := reflect.TypeFor[Settings]()
+	for i := range settings.NumField() {
+		name, _, _ := strings.Cut(settings.Field(i).Tag.Get("json"), ",")
+		fields = append(fields, name)
+	}
+	assert.ElementsMatch(t, fields, listed)
+}
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
@@ -58,16 +59,10 @@
 	w := worldOf(ts)
 	p, err := newPlan(parseOptions(ts, args, fleetUsage))
 	ts.Check(err)
-	ts.Check(w.outside(p))
-	ts.Check(w.push(p))
-	ts.Check(w.daemons(p))
+	ts.Check(w.launch(p))
 	for i := range p.entries {
-		admin := w.url(portEntry + portStep*i + offsetAdmin)
-		if !until(func() bool { return w.ok(admin + "/readyz") }) {
-			ts.Fatalf("entry-%d never became ready", i+1)
-		}
 		ts.Setenv("URL"+strconv.Itoa(i+1), w.url(portEntry+portStep*i))
-		ts.Setenv("ADMIN"+strconv.Itoa(i+1), admin)
+		ts.Setenv("ADMIN"+strconv.Itoa(i+1), w.url(portEntry+portStep*i+offsetAdmin))
 	}
 	for i := range p.sidecars {
 		ts.Setenv("ENGINE"+strconv.Itoa(i+1), w.url(portSidecar+portStep*i+offsetEngine))
@@ -78,6 +73,22 @@
 	ts.Setenv("BAND", keyBand)
 }
 
+// launch starts the plan's processes and waits until all entries are ready.
+func (w *world) launch(p plan) error {
+	for _, step := range []func(plan) error{w.outside, w.push, w.daemons} {
+		if err := step(p); err != nil {
+			return err
+		}
+	}
+	for i := range p.entries {
+		admin := w.url(portEntry + portStep*i + offsetAdmin)
+		if !until(func() bool { return w.ok(admin + "/readyz") }) {
+			return errors.Errorf("entry-%d never became ready", i+1)
+		}
+	}
+	return nil
+}
+
 func newPlan(options map[string]string) (plan, error) {
 	p := plan{entries: 1, sidecars: 2, slots: 8, rate: 10_000, log: options["log"]}
 	for name, target := range map[string]*int{"entries": &p.entries, "sidecars": &p.sidecars, "slots": &p.slots} {
@@ -135,7 +146,7 @@
 		}
 	}
 	if !until(func() bool { return w.ok(w.url(portPlatform) + "/counts") }) {
-		return fmt.Errorf("the platform never served")
+		return errors.New("the platform never served")
 	}
 	return nil
 }
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -36,20 +36,25 @@
 
 var worlds atomic.Int64
 
-// newWorld gives the scenario a loopback address of its own, so that scenarios
-// and test runs that go on side by side don't share ports.
-func newWorld(env *testscript.Env) *world {
+// setUp gives the scenario a world of its own.
+func setUp(env *testscript.Env) error {
+	w := newWorld(env.WorkDir)
+	env.Values[worldKey{}] = w
+	env.Defer(w.close)
+	return nil
+}
+
+// newWorld returns a world with a loopback address of its own, so that
+// scenarios and test runs that go on side by side don't share ports.
+func newWorld(dir string) *world {
 	const span = 250
 	pid := os.Getpid()
-	w := &world{
-		dir:   env.WorkDir,
+	return &world{
+		dir:   dir,
 		ip:    fmt.Sprintf("127.%d.%d.%d", 1+pid/span%span, 1+pid%span, worlds.Add(1)),
 		http:  &http.Client{Transport: &http.Transport{DisableCompression: true}},
 		procs: make(map[string]*process),
 	}
-	env.Values[worldKey{}] = w
-	env.Defer(w.close)
-	return w
 }
 
 func worldOf(ts *testscript.TestScript) *world {
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -32,20 +32,19 @@
 		Dir:                 "testdata",
 		RequireExplicitExec: true,
 		RequireUniqueNames:  true,
-		Setup: func(env *testscript.Env) error {
-			newWorld(env)
-			return nil
-		},
+		Setup:               setUp,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":  fleetCommand,
-			"start":  startCommand,
-			"await":  awaitCommand,
-			"poll":   pollCommand,
-			"signal": signalCommand,
-			"finish": finishCommand,
-			"switch": switchCommand,
-			"call":   callCommand,
-			"once":   onceCommand,
+			"fleet":   fleetCommand,
+			"start":   startCommand,
+			"await":   awaitCommand,
+			"poll":    pollCommand,
+			"signal":  signalCommand,
+			"finish":  finishCommand,
+			"switch":  switchCommand,
+			"call":    callCommand,
+			"once":    onceCommand,
+			"submit":  submitCommand,
+			"results": resultsCommand,
 		},
 	})
 }
