--- a/bhroute/table.go
+++ b/bhroute/table.go
@@ -99,6 +99,7 @@
 	blocks     int
 	candidates map[string]*candidate
 	order      []*candidate
+	hosts      map[string][]*candidate
 }
 
 // NewTable returns an empty table.
@@ -122,6 +123,7 @@
 		policy:     config.Policy,
 		random:     config.Random,
 		candidates: make(map[string]*candidate),
+		hosts:      make(map[string][]*candidate),
 	}
 }
 
@@ -132,15 +134,33 @@
 	now := time.Now()
 	c := t.candidates[report.Upstream]
 	if c == nil {
-		c = &candidate{prefixes: NewPrefixes(t.blocks)}
-		t.candidates[report.Upstream] = c
-		t.order = append(t.order, c)
-		c.report.Upstream = report.Upstream
-		slices.SortFunc(t.order, func(a, b *candidate) int { return cmp.Compare(a.report.Upstream, b.report.Upstream) })
+		c = t.add(report.Upstream)
+	}
+	if c.report.Host != report.Host {
+		t.unhost(c)
+		t.hosts[report.Host] = append(t.hosts[report.Host], c)
 	}
 	c.take(now, report)
 }
 
+func (t *Table) add(upstream string) *candidate {
+	c := &candidate{prefixes: NewPrefixes(t.blocks)}
+	c.report.Upstream = upstream
+	t.candidates[upstream] = c
+	t.order = append(t.order, c)
+	slices.SortFunc(t.order, func(a, b *candidate) int { return cmp.Compare(a.report.Upstream, b.report.Upstream) })
+	return c
+}
+
+// unhost takes the candidate off its host.
+func (t *Table) unhost(c *candidate) {
+	host := c.report.Host
+	t.hosts[host] = slices.DeleteFunc(t.hosts[host], func(other *candidate) bool { return other == c })
+	if len(t.hosts[host]) == 0 {
+		delete(t.hosts, host)
+	}
+}
+
 // Cache takes changes of an upstream's prefix cache into account.
 func (t *Table) Cache(upstream string, changes CacheChanges) {
 	t.mutex.Lock()
@@ -155,10 +175,8 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	now := time.Now()
-	for _, c := range t.order {
-		if c.report.Host == host {
-			c.refresh(now)
-		}
+	for _, c := range t.hosts[host] {
+		c.refresh(now)
 	}
 }
 
@@ -261,6 +279,7 @@
 	t.order = slices.DeleteFunc(t.order, func(c *candidate) bool {
 		if gone(c) {
 			delete(t.candidates, c.report.Upstream)
+			t.unhost(c)
 			return true
 		}
 		return false
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -27,7 +27,7 @@
 )
 
 const (
-	beatInterval      = 600 * time.Millisecond
+	beatInterval      = 900 * time.Millisecond
 	readHeaderTimeout = 5 * time.Second
 )
 
