Run batches on the sidecars and add the command batch

A sidecar runs one runner for each group of engines it fronts; the places are those that the live queue leaves free. A file names one model, so that a sidecar leases only what it can run. The command submits, follows, reads and cancels; without --id a batch's id is the digest of its file.

After a loss the engine is asked first whether it answers; until then an item is not charged.

--- /dev/null
+++ b/bhbatch/client.go
@@ -0,0 +1,180 @@
+package bhbatch
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime/multipart"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+)
+
+// ClientConfig configures a Client.
+type ClientConfig struct {
+	// URL is the base URL of an entry.
+	URL string
+	// Key is the key of a client account.
+	Key string
+}
+
+// Client calls the batch API of an entry. It never repeats a call.
+type Client struct {
+	base string
+	key  string
+	http *http.Client
+}
+
+// NewClient returns a client for the entry at config.URL.
+func NewClient(config ClientConfig) *Client {
+	return &Client{
+		base: strings.TrimSuffix(config.URL, "/"), key: config.Key,
+		http: &http.Client{Transport: &http.Transport{DisableCompression: true}},
+	}
+}
+
+// Close closes the idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// Upload sends an input file without holding it in memory. Bad lines come as
+// an InvalidError.
+func (c *Client) Upload(ctx context.Context, name string, file io.Reader) (FileReply, error) {
+	reader, writer := io.Pipe()
+	form := multipart.NewWriter(writer)
+	go func() { writer.CloseWithError(writeForm(form, name, file)) }()
+	defer func() { _ = reader.Close() }()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+PathFiles, reader)
+	if err != nil {
+		return FileReply{}, errors.WithStack(err)
+	}
+	request.Header.Set("Content-Type", form.FormDataContentType())
+	var reply FileReply
+	return reply, c.send(request, &reply)
+}
+
+func writeForm(form *multipart.Writer, name string, file io.Reader) error {
+	if err := form.WriteField("purpose", purposeBatch); err != nil {
+		return err
+	}
+	part, err := form.CreateFormFile("file", name)
+	if err != nil {
+		return err
+	}
+	if _, err := io.Copy(part, file); err != nil {
+		return err
+	}
+	return form.Close()
+}
+
+// Create makes a batch of a file; id is the client's id of the batch.
+func (c *Client) Create(ctx context.Context, file, id string, window time.Duration) (BatchReply, error) {
+	body := createBody{InputFile: file, Endpoint: "/v1/chat/completions"}
+	if window > 0 {
+		body.Window = window.String()
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return BatchReply{}, errors.WithStack(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+PathBatches, bytes.NewReader(data))
+	if err != nil {
+		return BatchReply{}, errors.WithStack(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if id != "" {
+		request.Header.Set(HeaderIdempotency, id)
+	}
+	var reply BatchReply
+	return reply, c.send(request, &reply)
+}
+
+// Get returns a batch.
+func (c *Client) Get(ctx context.Context, id string) (BatchReply, error) {
+	var reply BatchReply
+	return reply, c.call(ctx, http.MethodGet, PathBatches+"/"+url.PathEscape(id), &reply)
+}
+
+// Cancel cancels a batch.
+func (c *Client) Cancel(ctx context.Context, id string) (BatchReply, error) {
+	var reply BatchReply
+	return reply, c.call(ctx, http.MethodPost, PathBatches+"/"+url.PathEscape(id)+"/cancel", &reply)
+}
+
+// List returns up to limit batches that follow the batch after.
+func (c *Client) List(ctx context.Context, after string, limit int) (ListReply, error) {
+	query := url.Values{"limit": {strconv.Itoa(limit)}}
+	if after != "" {
+		query.Set("after", after)
+	}
+	var reply ListReply
+	return reply, c.call(ctx, http.MethodGet, PathBatches+"?"+query.Encode(), &reply)
+}
+
+// Content opens a file. The caller closes it; a file that breaks off ends with
+// an error.
+func (c *Client) Content(ctx context.Context, id string) (io.ReadCloser, error) {
+	path := c.base + PathFiles + "/" + url.PathEscape(id) + "/content"
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, path, nil)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	response, err := c.do(request)
+	if err != nil {
+		return nil, err
+	}
+	return response.Body, nil
+}
+
+// ResultFile returns the id of a batch's file of answers, or of errors.
+func ResultFile(batch string, failed bool) string {
+	if failed {
+		return batch + suffixErrors
+	}
+	return batch + suffixOutput
+}
+
+func (c *Client) call(ctx context.Context, method, path string, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	return c.send(request, reply)
+}
+
+func (c *Client) send(request *http.Request, reply any) error {
+	response, err := c.do(request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	return errors.Wrap(json.NewDecoder(response.Body).Decode(reply), "answer")
+}
+
+// do returns the response if its status is 200.
+func (c *Client) do(request *http.Request) (*http.Response, error) {
+	request.GetBody = nil
+	request.Header.Set("Authorization", "Bearer "+c.key)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	var reply InvalidReply
+	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+		return nil, errors.Errorf("status %d", response.StatusCode)
+	}
+	if reply.Total > 0 {
+		return nil, &InvalidError{Problems: reply.Lines, Total: reply.Total}
+	}
+	return nil, bhcode.New(bhcode.Code(reply.Error.Code), "%s", reply.Error.Message)
+}
--- a/bhbatch/dispatch.go
+++ b/bhbatch/dispatch.go
@@ -78,7 +78,7 @@
 	}
 	stop := r.onPreempt(ctx, cancel, place)
 	defer stop()
-	result, err = r.engine.Run(ctx, item.item, item.resume, func(text string, tokens int) {
+	result, err = place.Engine().Run(ctx, item.item, item.resume, func(text string, tokens int) {
 		r.emit(item, text, tokens)
 	})
 	return result, err != nil && ctx.Err() != nil, err
--- a/bhbatch/engine.go
+++ b/bhbatch/engine.go
@@ -53,8 +53,10 @@
 	Acquire(ctx context.Context) (Place, error)
 }
 
-// Place is permission to run one item.
+// Place is permission to run one item on one engine.
 type Place interface {
+	// Engine returns the engine that has the place.
+	Engine() Engine
 	// Preempted is closed when the item must stop at once.
 	Preempted() <-chan struct{}
 	// Release gives the place back.
--- a/bhbatch/feed.go
+++ b/bhbatch/feed.go
@@ -53,6 +53,9 @@
 	byKey := make(map[string]Lead, len(leads))
 	jobs := make([]bhfair.Job, 0, len(leads))
 	for _, lead := range leads {
+		if !r.serves(lead.Model) {
+			continue
+		}
 		byKey[lead.Key()] = lead
 		jobs = append(jobs, bhfair.Job{
 			ID: lead.Key(), Account: lead.Account, Created: lead.Created, Deadline: lead.Deadline,
--- a/bhbatch/handler.go
+++ b/bhbatch/handler.go
@@ -46,6 +46,9 @@
 	Logger bhlog.Logger
 	// Account returns the client account of an authenticated request.
 	Account func(c echo.Context) (string, error)
+	// Model reports an error if the caller may not use the model; nil allows
+	// every one.
+	Model func(c echo.Context, model string) error
 }
 
 // Handler serves files and batches over HTTP in the conventions of inference
@@ -55,6 +58,7 @@
 	store   *Store
 	logger  bhlog.Logger
 	account func(c echo.Context) (string, error)
+	model   func(c echo.Context, model string) error
 }
 
 // NewHandler returns a handler for the store of config.
@@ -63,7 +67,11 @@
 	if logger == nil {
 		logger = bhlog.Nop()
 	}
-	return &Handler{store: config.Store, logger: logger, account: config.Account}
+	model := config.Model
+	if model == nil {
+		model = func(echo.Context, string) error { return nil }
+	}
+	return &Handler{store: config.Store, logger: logger, account: config.Account, model: model}
 }
 
 // Router is the part of echo's routers that Register uses.
@@ -209,6 +217,13 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), storeTimeout)
 	defer cancel()
+	file, err := h.store.File(ctx, account, request.File)
+	if err != nil {
+		return outward(err)
+	}
+	if err := h.model(c, file.Model); err != nil {
+		return err
+	}
 	job, err := h.store.Create(ctx, account, request)
 	if err != nil {
 		return outward(err)
--- a/bhbatch/intake.go
+++ b/bhbatch/intake.go
@@ -144,6 +144,16 @@
 	if reason != "" {
 		return reason
 	}
+	model, reason := item.Model()
+	if reason != "" {
+		return reason
+	}
+	if in.file.Model == "" {
+		in.file.Model = model
+	}
+	if model != in.file.Model {
+		return "body: names another model than the lines before"
+	}
 	id := xxhash.Sum64String(item.CustomID)
 	if _, ok := in.seen[id]; ok {
 		return "custom_id is used by an earlier line"
--- a/bhbatch/job.go
+++ b/bhbatch/job.go
@@ -41,10 +41,12 @@
 
 // File describes an accepted input file.
 type File struct {
-	ID      string    `json:"id"`
-	Account string    `json:"account"`
-	Name    string    `json:"name"`
-	Digest  string    `json:"digest"`
+	ID      string `json:"id"`
+	Account string `json:"account"`
+	Name    string `json:"name"`
+	Digest  string `json:"digest"`
+	// Model is the one model that all items name.
+	Model   string    `json:"model"`
 	Bytes   int64     `json:"bytes"`
 	Items   int       `json:"items"`
 	Chunks  int       `json:"chunks"`
@@ -73,6 +75,7 @@
 	Account  string            `json:"account"`
 	File     string            `json:"file"`
 	Digest   string            `json:"digest"`
+	Model    string            `json:"model"`
 	Endpoint string            `json:"endpoint"`
 	Items    int               `json:"items"`
 	Chunks   int               `json:"chunks"`
@@ -97,6 +100,7 @@
 	ID       string    `json:"id"`
 	Account  string    `json:"account"`
 	File     string    `json:"file"`
+	Model    string    `json:"model"`
 	Items    int       `json:"items"`
 	Chunks   int       `json:"chunks"`
 	Created  time.Time `json:"created"`
--- a/bhbatch/lease_test.go
+++ b/bhbatch/lease_test.go
@@ -67,7 +67,9 @@
 		job := submit(t, store, 60, "a")
 		engine := newFakeEngine()
 		for i := range 3 {
-			runner := NewRunner(RunnerConfig{Store: store, Engine: engine, Gate: newFakeGate(4), Name: fmt.Sprint(i)})
+			gate := newFakeGate(4)
+			gate.engine = engine
+			runner := NewRunner(RunnerConfig{Store: store, Gate: gate, Name: fmt.Sprint(i)})
 			runner.watch.after = 0
 			defer startRunner(runner)()
 		}
--- a/bhbatch/line.go
+++ b/bhbatch/line.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 
+	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 )
 
@@ -59,7 +60,8 @@
 	return bhcode.Wrap(e, bhcode.BatchInvalid, "")
 }
 
-// ParseItem decodes one line. A non-empty reason says why the line is bad.
+// ParseItem decodes one line of a stored segment. A non-empty reason says why
+// the line is bad.
 func ParseItem(line []byte) (item Item, reason string) {
 	decoder := json.NewDecoder(bytes.NewReader(line))
 	if err := decoder.Decode(&item); err != nil {
@@ -77,10 +79,19 @@
 		return "custom_id is missing"
 	case i.Method != http.MethodPost:
 		return "method must be POST"
-	case !strings.HasPrefix(i.URL, "/v1/"):
-		return "url must start with /v1/"
+	case i.URL != bhchat.Path:
+		return "url must be " + bhchat.Path
 	case len(i.Body) == 0 || i.Body[0] != '{':
 		return "body must be an object"
 	}
 	return ""
 }
+
+// Model returns the model that the item names, or why its body is bad.
+func (i Item) Model() (model, reason string) {
+	request, err := bhchat.Parse(i.Body)
+	if err != nil {
+		return "", "body: " + bhcode.From(err).Message
+	}
+	return request.Model, ""
+}
--- a/bhbatch/runner.go
+++ b/bhbatch/runner.go
@@ -42,11 +42,13 @@
 // RunnerConfig configures a Runner.
 type RunnerConfig struct {
 	Store  *Store
-	Engine Engine
 	Gate   Gate
 	Logger bhlog.Logger
 	// Name is the name of the host.
 	Name string
+	// Serves reports whether the engines behind Gate have the model; nil means
+	// that they have every one.
+	Serves func(model string) bool
 	// Ready is the number of items to hold ready; zero means DefaultReady.
 	Ready int
 	// MaxHeld bounds the chunks held at a time; zero means DefaultMaxHeld.
@@ -57,10 +59,10 @@
 // chunks. The memory it uses does not depend on the size of jobs.
 type Runner struct {
 	store  *Store
-	engine Engine
 	gate   Gate
 	logger bhlog.Logger
 	holder string
+	serves func(model string) bool
 	ready  int
 	// maxHeld bounds the chunks held, and so the memory used.
 	maxHeld int
@@ -114,9 +116,13 @@
 	if logger == nil {
 		logger = bhlog.Nop()
 	}
+	serves := config.Serves
+	if serves == nil {
+		serves = func(string) bool { return true }
+	}
 	r := &Runner{
-		store: config.Store, engine: config.Engine, gate: config.Gate, logger: logger,
-		holder: config.Name + "-" + randomID(), ready: ready, maxHeld: maxHeld,
+		store: config.Store, gate: config.Gate, logger: logger,
+		holder: config.Name + "-" + randomID(), serves: serves, ready: ready, maxHeld: maxHeld,
 		parts: map[partID]*partRun{}, scheduler: bhfair.New(bhfair.Config{}),
 		dry: map[string]time.Time{}, watch: newWatch(),
 	}
--- a/bhbatch/runner_test.go
+++ b/bhbatch/runner_test.go
@@ -92,6 +92,7 @@
 
 // fakeGate gives a fixed number of places and preempts them on demand.
 type fakeGate struct {
+	engine  Engine
 	places  chan struct{}
 	mu      sync.Mutex
 	preempt chan struct{}
@@ -145,12 +146,14 @@
 	preempted chan struct{}
 }
 
+func (p *fakePlace) Engine() Engine             { return p.gate.engine }
 func (p *fakePlace) Preempted() <-chan struct{} { return p.preempted }
 func (p *fakePlace) Release()                   { <-p.gate.places }
 
 // start runs a runner until the function returned is called.
-func start(store *Store, engine Engine, gate Gate, name string) (*Runner, func()) {
-	runner := NewRunner(RunnerConfig{Store: store, Engine: engine, Gate: gate, Name: name})
+func start(store *Store, engine Engine, gate *fakeGate, name string) (*Runner, func()) {
+	gate.engine = engine
+	runner := NewRunner(RunnerConfig{Store: store, Gate: gate, Name: name})
 	return runner, startRunner(runner)
 }
 
--- a/bhbatch/store.go
+++ b/bhbatch/store.go
@@ -106,7 +106,7 @@
 	now := time.Now().UTC()
 	return Job{
 		ID: batchID(request.ID), Account: account, File: file.ID, Digest: digest(request, file, window),
-		Endpoint: request.Endpoint, Items: file.Items, Chunks: file.Chunks,
+		Model: file.Model, Endpoint: request.Endpoint, Items: file.Items, Chunks: file.Chunks,
 		Created: now, Deadline: now.Add(window), Window: window,
 		Metadata: request.Metadata, State: Running,
 	}
@@ -154,7 +154,8 @@
 		return Job{}, err
 	}
 	open := Open{
-		ID: job.ID, Account: job.Account, File: job.File, Items: job.Items, Chunks: job.Chunks,
+		ID: job.ID, Account: job.Account, File: job.File, Model: job.Model,
+		Items: job.Items, Chunks: job.Chunks,
 		Created: job.Created, Deadline: job.Deadline,
 	}
 	index, err := encode(openKey(job.Account, job.ID), open, bhplatform.Absent)
--- a/bhbatch/store_test.go
+++ b/bhbatch/store_test.go
@@ -18,7 +18,7 @@
 const account = "lin"
 
 func itemLine(id int) string {
-	return fmt.Sprintf(`{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"n":%d}}`, id, id)
+	return fmt.Sprintf(`{"custom_id":"item-%d","method":"POST","url":"/v1/chat/completions","body":{"model":"rota","messages":[{"role":"user","content":"shift %d"}]}}`, id, id)
 }
 
 func inputFile(items int) string {
@@ -70,6 +70,8 @@
 		`{"custom_id":"b","method":"POST","url":"/v1/x","body":[]}`,
 		`{"custom_id":"c","method":"POST","url":"/admin","body":{}}`,
 		itemLine(9) + " {}",
+		`{"custom_id":"d","method":"POST","url":"/v1/chat/completions","body":{"model":"rota"}}`,
+		strings.Replace(itemLine(10), "rota", "setlist", 1),
 	}
 	_, err := store.SaveFile(context.Background(), account, "f", strings.NewReader(strings.Join(lines, "\n")))
 	var invalid *InvalidError
@@ -79,7 +81,7 @@
 	for _, problem := range invalid.Problems {
 		bad = append(bad, problem.Line)
 	}
-	assert.Equal(t, []int{4, 5, 6, 7, 8, 9, 10}, bad)
+	assert.Equal(t, []int{4, 5, 6, 7, 8, 9, 10, 11, 12}, bad)
 	assert.Empty(t, fake.objects)
 	assert.Empty(t, fake.rows)
 }
--- a/bhcmd/root.go
+++ b/bhcmd/root.go
@@ -42,6 +42,7 @@
 		ErrWriter:             factory.Streams.Err,
 		ExitErrHandler:        func(context.Context, *cli.Command, error) {},
 		Commands: []*cli.Command{
+			NewBatch(factory),
 			NewDev(factory),
 			NewEntry(factory),
 			NewLoad(factory),
--- a/bhentry/chat.go
+++ b/bhentry/chat.go
@@ -58,6 +58,14 @@
 	return e.dispatch(ctx, submit, newChatAnswer(c, request))
 }
 
+// knownModel reports an error if the configuration has no such model.
+func knownModel(c echo.Context, name string) error {
+	if _, ok := callerOf(c).state.Model(name); !ok {
+		return bhcode.New(bhcode.NotFound, "no model has the name %q", name)
+	}
+	return nil
+}
+
 // models lists the models in the configuration.
 func (e *Entry) models(c echo.Context) error {
 	type model struct {
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -85,6 +85,7 @@
 		Store:   bhbatch.NewStore(bhbatch.StoreConfig{Platform: config.Platform, Logger: logger}),
 		Logger:  logger,
 		Account: func(c echo.Context) (string, error) { return callerOf(c).identity.Account, nil },
+		Model:   knownModel,
 	})
 	return e
 }
--- /dev/null
+++ b/bhsidecar/batch_test.go
@@ -0,0 +1,68 @@
+package bhsidecar
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhbatch"
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhstand"
+)
+
+func newBatchEngine(t *testing.T, config bhstand.EngineConfig) batchEngine {
+	config.Models = map[string]string{"rota": "1"}
+	engine := bhstand.NewEngine(config)
+	server := httptest.NewServer(engine)
+	t.Cleanup(server.Close)
+	declared := bhconf.Upstream{Name: "rota-1", Group: "rota", Slots: 8, Address: strings.TrimPrefix(server.URL, "http://")}
+	return batchEngine{upstream: newUpstream(declared, evenWeight)}
+}
+
+func batchItem(prompt string) bhbatch.Item {
+	return bhbatch.Item{Body: []byte(`{"model":"rota","max_tokens":16,"messages":[{"role":"user","content":"` + prompt + `"}]}`)}
+}
+
+func ignore(string, int) {}
+
+func TestBatchItemResumedHasTheSameAnswer(t *testing.T) {
+	engine := newBatchEngine(t, bhstand.EngineConfig{})
+	var pieces []string
+	whole, err := engine.Run(context.Background(), batchItem("week"), bhbatch.Resume{}, func(text string, _ int) {
+		pieces = append(pieces, text)
+	})
+	require.NoError(t, err)
+	resume := bhbatch.Resume{Text: strings.Join(pieces[:5], ""), Tokens: 5}
+	rest := 0
+	resumed, err := engine.Run(context.Background(), batchItem("week"), resume, func(string, int) { rest++ })
+	require.NoError(t, err)
+	assert.Equal(t, string(whole.Body), string(resumed.Body))
+	assert.Equal(t, len(pieces)-5, rest)
+	assert.Equal(t, len(pieces), resumed.Tokens)
+}
+
+// TestItemIsNotChargedForAnEngineThatIsDown: a restarting engine closes
+// connections just as one that the item crashed.
+func TestItemIsNotChargedForAnEngineThatIsDown(t *testing.T) {
+	engine := newBatchEngine(t, bhstand.EngineConfig{Restart: time.Hour})
+	_, err := engine.Run(context.Background(), batchItem("CRASH"), bhbatch.Resume{}, ignore)
+	assert.True(t, bhcode.Is(err, bhcode.UpstreamLost), "%v", err)
+	_, err = engine.Run(context.Background(), batchItem("week"), bhbatch.Resume{}, ignore)
+	assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "%v", err)
+}
+
+func TestBatchItemErrorsByCause(t *testing.T) {
+	engine := newBatchEngine(t, bhstand.EngineConfig{})
+	_, err := engine.Run(context.Background(), batchItem("REFUSE"), bhbatch.Resume{}, ignore)
+	assert.True(t, bhcode.Is(err, bhcode.ItemFailed), "%v", err)
+	other := batchItem("week")
+	other.Body = []byte(strings.Replace(string(other.Body), "rota", "setlist", 1))
+	_, err = engine.Run(context.Background(), other, bhbatch.Resume{}, ignore)
+	assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "a model that is not loaded: %v", err)
+}
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -91,6 +91,7 @@
 	tree.Add("link", s.serve(link, http.HandlerFunc(s.accept)))
 	tree.Add("admin", s.serve(admin, s.adminHandler()))
 	tree.AddRestarted("announce", s.announce)
+	tree.AddRestarted("batch", s.batch)
 	tree.Add("drain", func(inner context.Context) error {
 		select {
 		case <-ctx.Done():
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -35,6 +35,8 @@
 	config    bhconf.Upstream
 	models    []string
 	admission *admission
+	// lost is set while the engine has not answered since a batch item lost it.
+	lost atomic.Bool
 	// cache holds the changes of an engine's prefix cache; nil for plain services.
 	cache *bhcache.Log
 	// unfollow stops following the cache and waits.
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -45,6 +45,9 @@
 			"once":    onceCommand,
 			"submit":  submitCommand,
 			"results": resultsCommand,
+			"items":   itemsCommand,
+			"answers": answersCommand,
+			"batchid": batchIDCommand,
 		},
 	})
 }
