Keep entries and sidecars at the configuration by bhsync

The follower that polled the head row and broadcast whole copies goes; the table's rows are now those of bhsync.Archive, and the tests that wrote the head row by hand push a first version instead. An entry is ready only when it trusts its keys.

--- a/bhcmd/dev.go
+++ b/bhcmd/dev.go
@@ -16,10 +16,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
-	"github.com/baobabhaven/baobabhaven/bhentry"
 	"github.com/baobabhaven/baobabhaven/bhkey"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhstand"
+	"github.com/baobabhaven/baobabhaven/bhsync"
 )
 
 const (
@@ -194,14 +194,9 @@
 
 // push puts the configuration into the platform's table.
 func (f *devFleet) push(ctx context.Context) error {
-	body, err := f.config.Canonical()
-	if err != nil {
-		return err
-	}
 	client := bhplatform.NewClient(bhplatform.ClientConfig{URL: "http://" + f.platform})
 	defer client.Close()
-	_, err = client.Commit(ctx, bhplatform.Write{Key: bhentry.HeadKey, Value: body, Expect: bhplatform.Absent})
-	return err
+	return bhsync.NewArchive(client.Platform()).Begin(ctx, f.config)
 }
 
 // await waits until the fleet answers a chat request.
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -51,7 +51,7 @@
 	mesh     *bhmesh.Mesh
 	store    *bhsync.Store
 	running  *bhsync.Running
-	follower *follower
+	node     *bhsync.Node
 	fleet    *fleet
 	budgets  *bhroute.Budgets
 	limiter  Limiter
@@ -70,7 +70,14 @@
 	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
 	e.store = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	e.running = bhsync.NewRunning(e.store)
-	e.follower = newFollower(config.Platform.Table, e.mesh, e.store, logger)
+	e.node = bhsync.NewNode(bhsync.NodeConfig{
+		Host:     config.Settings.Host,
+		Entry:    true,
+		Store:    e.store,
+		Platform: config.Platform,
+		Logger:   logger,
+	})
+	e.node.Attach(e.mesh)
 	e.fleet = newFleet(fleetConfig{Self: config.Settings.Host, Link: e.linkConfig(), Mesh: e.mesh, Hosts: config.Platform.Hosts, Logger: logger})
 	e.budgets = bhroute.NewBudgets()
 	e.once = bhonce.New(bhonce.Config{
@@ -106,7 +113,7 @@
 	tree.Add("callers", serve(e.server, listeners[0]))
 	tree.Add("link", serve(newServer(serving, http.HandlerFunc(e.accept)), listeners[1]))
 	tree.Add("admin", serve(newServer(serving, e.adminHandler()), listeners[2]))
-	tree.AddRestarted("follower", e.follower.run)
+	tree.AddRestarted("sync", e.node.Run)
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
 	tree.AddRestarted("claims", e.once.Run)
@@ -152,7 +159,7 @@
 		}
 	})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !e.fleet.covers(e.store.Current()) {
+		if !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhsidecar"
 	"github.com/baobabhaven/baobabhaven/bhstand"
+	"github.com/baobabhaven/baobabhaven/bhsync"
 )
 
 const (
@@ -138,9 +139,6 @@
 
 func push(t *testing.T, url string, config bhconf.Config) {
 	t.Helper()
-	body, err := config.Canonical()
-	require.NoError(t, err)
 	client := bhplatform.NewClient(bhplatform.ClientConfig{URL: url})
-	_, err = client.Commit(t.Context(), bhplatform.Write{Key: bhentry.HeadKey, Value: body, Expect: bhplatform.Absent})
-	require.NoError(t, err)
+	require.NoError(t, bhsync.NewArchive(client.Platform()).Begin(t.Context(), config))
 }
--- a/bhsidecar/control.go
+++ b/bhsidecar/control.go
@@ -9,22 +9,21 @@
 	"github.com/baobabhaven/baobabhaven/bhbeat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlink"
-	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-// takeConfig puts a configuration from an entry in force.
-func (s *Sidecar) takeConfig(_ bhwire.Hello, frame bhwire.Frame) error {
-	message, err := bhwire.Decode[bhwire.Config](frame)
-	if err != nil {
-		return err
-	}
-	if _, err := s.store.Apply(message); err != nil {
-		return err
-	}
-	if now := s.store.Current(); now != nil {
-		s.upstreams.configure(now)
+// configure applies each version of the configuration that comes into force.
+func (s *Sidecar) configure(ctx context.Context) error {
+	for {
+		changed := s.store.Watch()
+		if now := s.store.Current(); now != nil {
+			s.upstreams.configure(now)
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-changed:
+		}
 	}
-	return nil
 }
 
 // beat sends heartbeats on one control session until it ends.
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -50,6 +50,7 @@
 	left      chan struct{}
 	mesh      *bhmesh.Mesh
 	store     *bhsync.Store
+	node      *bhsync.Node
 	streams   bhdrain.Inflight
 	accepting sync.WaitGroup
 
@@ -69,7 +70,13 @@
 	}
 	s.store = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	s.mesh = bhmesh.New(bhmesh.Config{Link: s.linkConfig(), Logger: logger})
-	s.mesh.Handle(bhwire.KindConfig, s.takeConfig)
+	s.node = bhsync.NewNode(bhsync.NodeConfig{
+		Host:     config.Settings.Host,
+		Store:    s.store,
+		Platform: config.Platform,
+		Logger:   logger,
+	})
+	s.node.Attach(s.mesh)
 	s.mesh.Attend(s.beat)
 	return s
 }
@@ -90,6 +97,8 @@
 	tree := bhtree.New(bhtree.Config{Name: "sidecar", Logger: s.logger})
 	tree.Add("link", s.serve(link, http.HandlerFunc(s.accept)))
 	tree.Add("admin", s.serve(admin, s.adminHandler()))
+	tree.AddRestarted("sync", s.node.Run)
+	tree.AddRestarted("configure", s.configure)
 	tree.AddRestarted("announce", s.announce)
 	tree.AddRestarted("batch", s.batch)
 	tree.Add("drain", func(inner context.Context) error {
--- a/bhsync/link.go
+++ b/bhsync/link.go
@@ -77,9 +77,12 @@
 		wake:   make(chan struct{}, 1),
 		cancel: cancel,
 		done:   make(chan struct{}),
+		ask:    hello.Role == string(bhconf.RoleEntry),
 	}
 	n.mu.Lock()
 	n.links[link] = true
+	close(n.joined)
+	n.joined = make(chan struct{})
 	n.mu.Unlock()
 	if link.isEntry() {
 		n.store.SetAlone(false)
--- a/bhsync/node.go
+++ b/bhsync/node.go
@@ -63,7 +63,10 @@
 	// entryHeard is when a frame from an entry last came.
 	entryHeard time.Time
 	started    time.Time
-	loadFailed bool
+	// loadTried is whether the platform was asked for a first version.
+	loadTried bool
+	// joined is closed at the next Join.
+	joined chan struct{}
 	// logged is the number of revocation records read from the platform, and
 	// durable holds their digests.
 	logged  int64
@@ -89,6 +92,7 @@
 		store:   config.Store,
 		archive: NewArchive(config.Platform),
 		links:   make(map[*Link]bool),
+		joined:  make(chan struct{}),
 		durable: make(map[string]bool),
 	}
 }
@@ -238,7 +242,7 @@
 	if n.behind.IsZero() {
 		n.behind = now
 	}
-	if version == 0 && !n.loadFailed && now.Sub(n.started) < pollTimeout {
+	if version == 0 && !n.loadTried && now.Sub(n.started) < pollTimeout {
 		return false
 	}
 	return now.Sub(n.behind) >= pullDelay && now.Sub(n.pull.sent) >= pullTimeout
--- a/bhsync/poll.go
+++ b/bhsync/poll.go
@@ -33,7 +33,7 @@
 				bhlog.Problem(n.config.Logger, "sync.poll", err)
 			}
 			failing = err != nil
-			n.noteLoad(err)
+			n.noteLoad()
 			n.pollHosts(ctx)
 		}
 		interval := pollInterval
@@ -75,10 +75,10 @@
 	n.store.SetAlone(alone)
 }
 
-func (n *Node) noteLoad(err error) {
+func (n *Node) noteLoad() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.loadFailed = err != nil
+	n.loadTried = true
 }
 
 // poll reads the newer versions and revocations. If it read all there are, it
--- a/bhsync/push.go
+++ b/bhsync/push.go
@@ -109,6 +109,15 @@
 	return a.settle(ctx, push, head), nil
 }
 
+// Begin pushes the first version of a new fleet.
+func (a *Archive) Begin(ctx context.Context, config bhconf.Config) error {
+	result, err := a.Push(ctx, Push{ID: rand.Text(), Config: config, Note: "first version"})
+	if err == nil && result.Outcome != Accepted {
+		err = bhcode.New(bhcode.ConfigConflict, "%s: %s", result.Outcome, result.Message)
+	}
+	return err
+}
+
 // prepare computes the change and stores the whole copy if one is due.
 func (a *Archive) prepare(ctx context.Context, push Push, head head) (changeRow, error) {
 	digest, err := push.Config.Digest()
--- a/bhsync/store.go
+++ b/bhsync/store.go
@@ -163,7 +163,11 @@
 
 // SetAlone says whether this is the only entry, so that no revocation can
 // enter the fleet anywhere else. Its keys are then always trusted.
-func (s *Store) SetAlone(alone bool) { s.alone.Store(alone) }
+func (s *Store) SetAlone(alone bool) {
+	if s.alone.Swap(alone) && !alone {
+		s.Confirm(time.Now())
+	}
+}
 
 // Trusted reports whether this host may still rely on its keys at now.
 func (s *Store) Trusted(now time.Time) bool {
--- a/scenario/fleet_test.go
+++ b/scenario/fleet_test.go
@@ -15,9 +15,9 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
-	"github.com/baobabhaven/baobabhaven/bhentry"
 	"github.com/baobabhaven/baobabhaven/bhkey"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhsync"
 )
 
 // Ports of a scenario's fleet, on its own address.
@@ -162,15 +162,9 @@
 
 // push puts the configuration into the table.
 func (w *world) push(p plan) error {
-	body, err := w.config(p).Canonical()
-	if err != nil {
-		return err
-	}
 	client := bhplatform.NewClient(bhplatform.ClientConfig{URL: w.url(portPlatform)})
 	defer client.Close()
-	write := bhplatform.Write{Key: bhentry.HeadKey, Value: body, Expect: bhplatform.Absent}
-	_, err = client.Commit(context.Background(), write)
-	return err
+	return bhsync.NewArchive(client.Platform()).Begin(context.Background(), w.config(p))
 }
 
 func (w *world) config(p plan) bhconf.Config {
