Pass chunks on as the engine sent them, and what isn't text whole

Cause: chunks were decoded and encoded again, which dropped every field not known here (tool calls, log probabilities), and content given as parts was refused; a stock client would have got a wrong answer. Ruled out: knowing every field; the conventions grow. Before: unknown fields lost. Conclusion: only plain text answers are resumed at another engine.

--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -1,6 +1,7 @@
 package bhchat
 
 import (
+	"strconv"
 	"strings"
 
 	"github.com/goccy/go-json"
@@ -40,6 +41,10 @@
 	Model   string        `json:"model"`
 	Choices []ChunkChoice `json:"choices"`
 	Usage   *Usage        `json:"usage,omitempty"`
+
+	// Raw is the chunk as the engine sent it, with fields not named above. It is
+	// valid until the next call of the decoder.
+	Raw []byte `json:"-"`
 }
 
 // Choice is one choice of a whole answer.
@@ -135,8 +140,35 @@
 	if err != nil {
 		return nil, err
 	}
-	event := make([]byte, 0, len(data)+len(eventPrefix)+len(eventEnd))
-	event = append(event, eventPrefix...)
-	event = append(event, data...)
-	return append(event, eventEnd...), nil
+	return RawEvent(nil, data), nil
+}
+
+// RawEvent appends the server-sent event that carries data to buf.
+func RawEvent(buf, data []byte) []byte {
+	buf = append(buf, eventPrefix...)
+	buf = append(buf, data...)
+	return append(buf, eventEnd...)
+}
+
+// Last returns the JSON of a chunk with usage under another id and creation
+// time.
+func Last(chunk Chunk, id string, created int64) ([]byte, error) {
+	chunk.ID, chunk.Created = id, created
+	return json.Marshal(chunk)
+}
+
+// Rename returns a chunk's JSON with another id and creation time, in seconds
+// since 1970. Other fields stay as they are.
+func Rename(raw []byte, id string, created int64) ([]byte, error) {
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, err
+	}
+	name, err := json.Marshal(id)
+	if err != nil {
+		return nil, err
+	}
+	fields["id"] = name
+	fields["created"] = strconv.AppendInt(nil, created, 10)
+	return json.Marshal(fields)
 }
--- a/bhchat/chat_test.go
+++ b/bhchat/chat_test.go
@@ -88,3 +88,32 @@
 	assert.NotEqual(t, a[2], b[2])
 	assert.Len(t, Prefix("short"), 0)
 }
+
+func TestContentThatIsNotTextIsKept(t *testing.T) {
+	request, err := Parse([]byte(`{"model":"m","messages":[{"role":"user","content":[{"type":"text","text":"hi"}]},{"role":"assistant","content":null}]}`))
+	require.NoError(t, err)
+	assert.Equal(t, "user: [{\"type\":\"text\",\"text\":\"hi\"}]\nassistant: \n", request.Prompt())
+}
+
+func TestOnlyTextAnswersArePutTogether(t *testing.T) {
+	for body, streamed := range map[string]bool{
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"seed":1}`:                 true,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"tools":[]}`:               false,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"n":2}`:                    false,
+		`{"model":"m","messages":[{"role":"user","content":"x"}],"tools":[],"stream":true}`: true,
+	} {
+		request, err := Parse([]byte(body))
+		require.NoError(t, err)
+		assert.Equal(t, streamed, request.Streamed(), body)
+	}
+}
+
+func TestRawChunksKeepFieldsThatAreNotKnown(t *testing.T) {
+	var decoder Decoder
+	chunks, err := decoder.Feed([]byte("data: {\"id\":\"a\",\"created\":1,\"choices\":[{\"delta\":{\"tool_calls\":[1]}}],\"x\":{\"y\":2}}\r\n\r\n"))
+	require.NoError(t, err)
+	require.Len(t, chunks, 1)
+	renamed, err := Rename(chunks[0].Raw, "b", 7)
+	require.NoError(t, err)
+	assert.JSONEq(t, `{"id":"b","created":7,"choices":[{"delta":{"tool_calls":[1]}}],"x":{"y":2}}`, string(renamed))
+}
--- a/bhchat/request.go
+++ b/bhchat/request.go
@@ -31,6 +31,28 @@
 	Content string `json:"content"`
 }
 
+// UnmarshalJSON reads a message. Content that isn't text, such as a list of
+// parts, is kept as its JSON.
+func (m *Message) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	}
+	if err := json.Unmarshal(data, &raw); err != nil {
+		return err
+	}
+	m.Role = raw.Role
+	if len(raw.Content) == 0 || string(raw.Content) == "null" {
+		m.Content = ""
+		return nil
+	}
+	if raw.Content[0] != '"' {
+		m.Content = string(raw.Content)
+		return nil
+	}
+	return json.Unmarshal(raw.Content, &m.Content)
+}
+
 // Resume names the part of an answer that the caller already has.
 type Resume struct {
 	Text   string `json:"text"`
@@ -95,15 +117,36 @@
 	return int64(size/bytesPerToken + r.MaxTokens)
 }
 
-// EngineBody returns the body for an engine: always streamed, and resumed
-// after what the caller already has.
+// plainFields are the fields with which an answer is text only.
+var plainFields = map[string]bool{
+	"model": true, "messages": true, "stream": true, "max_tokens": true, "max_completion_tokens": true, "temperature": true, "top_p": true,
+	"seed": true, "stop": true, "user": true, "frequency_penalty": true, "presence_penalty": true, "resume": true,
+}
+
+// TextOnly reports whether the answer is one text, which can be put together
+// from chunks and gone on with at another engine.
+func (r Request) TextOnly() bool {
+	for name := range r.raw {
+		if !plainFields[name] {
+			return false
+		}
+	}
+	return true
+}
+
+// Streamed reports whether engines are asked for a stream: if the caller wants
+// one, or if the whole answer can be put together from it.
+func (r Request) Streamed() bool { return r.Stream || r.TextOnly() }
+
+// EngineBody returns the body for an engine, resumed after what the caller
+// already has.
 func (r Request) EngineBody(resume Resume) ([]byte, error) {
 	fields := make(map[string]any, len(r.raw)+2)
 	for name, value := range r.raw {
 		fields[name] = value
 	}
 	delete(fields, "resume")
-	fields["stream"] = true
+	fields["stream"] = r.Streamed()
 	if resume.Tokens > 0 {
 		fields["resume"] = resume
 	}
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -70,5 +70,6 @@
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event")
 	}
+	chunk.Raw = data
 	return chunk, true, nil
 }
