--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -63,6 +63,9 @@
 	// Number of the loan, chosen by the asking host.
 	ID uint64 `json:"id"`
 
+	// Tokens that the lender has left, in an answer.
+	Left float64 `json:"left"`
+
 	// Number of the ask within the loan; an answer repeats it.
 	Seq uint64 `json:"seq"`
 
@@ -178,9 +181,6 @@
 // Vote asks an entry for its promise to honour a membership epoch of the limits,
 // or answers.
 type Vote struct {
-	// Time since the sender adopted its epoch.
-	Age time.Duration `json:"age"`
-
 	// Whether this is an answer.
 	Answer bool `json:"answer"`
 
@@ -202,6 +202,9 @@
 	// Time since the sender's evidence that its epoch was the table's newest.
 	Proof time.Duration `json:"proof"`
 
+	// Members of the epoch that the sender hears, one bit each in their order.
+	Seen uint64 `json:"seen"`
+
 	// Number of the question; the answer repeats it.
 	Seq uint64 `json:"seq"`
 
