Quarantine crashing requests on the live path; send each request once

Sidecars count, for each upstream, the content that ran when it died and tell all entries at once (and those that connect later); entries run a suspect once more on the least busy upstream under a trial row in the table, clear it when its answer is whole, and answer the rest with code 2007. Batch items count as sharing the engine.

Tried first: each suspect alone on a drained upstream. Price: a request that kills in the middle of its answer among many is stopped after three.

The test found that one GET crashed an upstream up to five times: on a kept connection that broke, the library's transport sent it again by itself, as it does for safe methods without a body and for requests with an idempotency key. Ruled out: fresh connections for all (a dial for each request). Now the body of safe methods is empty but not nil, and keyed ones get a fresh connection.

TestKillerCrashesTwoUpstreams: before 7 and 8 crashes, after 2, with 60 other requests whole. With judging off it fails (other requests get 502, the killer too). TestTransportSendsOnce fails with 2 sends without the change.

--- a/bhcrash/ledger.go
+++ b/bhcrash/ledger.go
@@ -1,6 +1,6 @@
 // Package bhcrash finds the requests that crash their upstreams. Sidecars
 // report what ran on an upstream when it died; entries let a suspect run once
-// more, alone, and refuse it fleet-wide if it crashes an upstream again.
+// more, apart from other suspects, and refuse it fleet-wide if it crashes an upstream again.
 package bhcrash
 
 import (
@@ -24,7 +24,7 @@
 // Judgement says how a request may run.
 type Judgement string
 
-// Judgements. A suspect runs alone, as a trial.
+// Judgements. A suspect runs as a trial, on an upstream without other suspects.
 const (
 	Clear       Judgement = "clear"
 	Suspect     Judgement = "suspect"
@@ -41,8 +41,11 @@
 type Evidence struct {
 	// Crashes is the number of upstream crashes while the request ran.
 	Crashes int
-	// Alone says whether nothing else ran in one of them.
+	// Alone says whether no other suspect ran in one of them.
 	Alone bool
+	// Early says whether the answer hadn't begun, or few requests ran, in one of
+	// them. A late crash alone makes no suspect.
+	Early bool
 	// Age is the time since the last of them.
 	Age time.Duration
 }
@@ -64,6 +67,7 @@
 type seen struct {
 	crashes int
 	alone   bool
+	early   bool
 	last    time.Time
 }
 
@@ -74,7 +78,7 @@
 
 // Crash records a crash that this process saw itself and returns all that it
 // has seen of the digest.
-func (l *Ledger) Crash(self Source, digest string, alone bool) Evidence {
+func (l *Ledger) Crash(self Source, digest string, alone, early bool) Evidence {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
@@ -83,9 +87,9 @@
 	if now.Sub(before.last) > Window {
 		before = seen{}
 	}
-	after := seen{crashes: before.crashes + 1, alone: before.alone || alone, last: now}
+	after := seen{crashes: before.crashes + 1, alone: before.alone || alone, early: before.early || early, last: now}
 	f.sources[self] = after
-	return Evidence{Crashes: after.crashes, Alone: after.alone}
+	return Evidence{Crashes: after.crashes, Alone: after.alone, Early: after.early}
 }
 
 // Take records the evidence of a source. The same evidence may come many times
@@ -113,7 +117,12 @@
 	if evidence.Crashes == before.crashes && before.last.After(last) {
 		last = before.last
 	}
-	f.sources[source] = seen{crashes: evidence.Crashes, alone: before.alone || evidence.Alone, last: last}
+	f.sources[source] = seen{
+		crashes: evidence.Crashes,
+		alone:   before.alone || evidence.Alone,
+		early:   before.early || evidence.Early,
+		last:    last,
+	}
 }
 
 // Clear forgets the crashes of a digest that ran alone without one.
@@ -142,7 +151,7 @@
 	for digest, f := range l.digests {
 		s, ok := f.sources[source]
 		if ok && now.Sub(s.last) <= Window {
-			report(digest, Evidence{Crashes: s.crashes, Alone: s.alone, Age: now.Sub(s.last)})
+			report(digest, Evidence{Crashes: s.crashes, Alone: s.alone, Early: s.early, Age: now.Sub(s.last)})
 		}
 	}
 }
@@ -190,7 +199,7 @@
 }
 
 func (f *file) judge(now time.Time) (Judgement, time.Duration) {
-	crashes, alone := 0, false
+	crashes, alone, early := 0, false, false
 	var last time.Time
 	for _, s := range f.sources {
 		if now.Sub(s.last) > Window {
@@ -198,6 +207,7 @@
 		}
 		crashes += s.crashes
 		alone = alone || s.alone
+		early = early || s.early
 		if s.last.After(last) {
 			last = s.last
 		}
@@ -205,7 +215,7 @@
 	switch {
 	case crashes >= sharedCrashes, crashes >= provenCrashes && alone:
 		return Quarantined, last.Add(Window).Sub(now)
-	case crashes > 0:
+	case crashes >= provenCrashes, early:
 		return Suspect, 0
 	}
 	return Clear, 0
--- a/bhcrash/trial.go
+++ b/bhcrash/trial.go
@@ -46,7 +46,7 @@
 	return &Trials{table: table}
 }
 
-// Trial is the right to run one suspect, alone.
+// Trial is the right to run one suspect, apart from others.
 type Trial struct {
 	trials  *Trials
 	key     string
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -46,13 +46,21 @@
 	e.budgets.Earn(submit.Group)
 	var last error
 	for submit.Attempt = 1; submit.Attempt <= maxAttempts; submit.Attempt++ {
+		trial, err := e.suspects.admit(ctx, submit, last)
+		if err != nil {
+			return err
+		}
+		submit.Alone = trial != nil
+		request.Alone = submit.Alone
 		target, err := e.fleet.pick(request, submit.ID)
 		if err != nil {
+			trial.end(ctx, err)
 			return orElse(last, err)
 		}
 		submit.Upstream = target.upstream
 		e.fleet.table.Sent(target.upstream, request)
 		last = e.attempt(ctx, target, submit, answer)
+		trial.end(ctx, last)
 		outcome := outcomeOf(last)
 		e.fleet.table.Finished(target.upstream, request, outcome)
 		if last == nil {
@@ -147,7 +155,7 @@
 			return err
 		}
 		if frame.Kind == bhwire.KindEnd {
-			return e.finish(target, frame, answer)
+			return e.finish(target, submit.Digest, frame, answer)
 		}
 		if err := lead(frame, answer); err != nil {
 			return err
@@ -174,7 +182,7 @@
 }
 
 // finish takes the end of an attempt, with the news of the upstream's cache.
-func (e *Entry) finish(target target, frame bhwire.Frame, answer answer) error {
+func (e *Entry) finish(target target, digest string, frame bhwire.Frame, answer answer) error {
 	end, err := bhwire.Decode[bhwire.End](frame)
 	if err != nil {
 		return err
@@ -183,6 +191,9 @@
 		e.fleet.table.Cache(target.upstream, bhroute.CacheChanges{Cached: end.Cached, Evicted: end.Evicted, Gap: end.Gap})
 		return answer.end()
 	}
+	if end.Crashed {
+		e.suspects.crashed(target.link.session.Peer, digest, end)
+	}
 	failure := bhcode.New(bhcode.Code(end.Code), "%s", end.Message)
 	return failure.WithRan(bhcode.Ran(end.Ran)).WithRetryAfter(end.Retry)
 }
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -54,6 +54,7 @@
 	node     *bhsync.Node
 	fleet    *fleet
 	budgets  *bhroute.Budgets
+	suspects *suspects
 	limiter  Limiter
 	guard    *bhkey.Guard
 	once     *bhonce.Keeper
@@ -80,6 +81,7 @@
 	e.node.Attach(e.mesh)
 	e.fleet = newFleet(fleetConfig{Self: config.Settings.Host, Link: e.linkConfig(), Mesh: e.mesh, Hosts: config.Platform.Hosts, Logger: logger})
 	e.budgets = bhroute.NewBudgets()
+	e.suspects = newSuspects(e.mesh, config.Platform.Table, logger)
 	e.once = bhonce.New(bhonce.Config{
 		Table:   config.Platform.Table,
 		Objects: config.Platform.Objects,
@@ -117,6 +119,7 @@
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
 	tree.AddRestarted("claims", e.once.Run)
+	tree.AddRestarted("trials", e.suspects.run)
 	tree.AddRestarted("watch", e.fleet.watch)
 	tree.AddRestarted("announce", e.announce)
 	tree.Add("drain", func(inner context.Context) error {
--- a/bhqueue/account.go
+++ b/bhqueue/account.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
 )
 
 // Measures of an account's use of slots.
@@ -39,6 +41,15 @@
 	expires time.Time
 }
 
+// expired returns the error of an item that waited for as long as it may. Another
+// upstream may have room for one that must run alone.
+func (it *item[K]) expired(now time.Time) *bhcode.Error {
+	if it.alone {
+		return bhcode.New(bhcode.Overloaded, "another suspect ran for too long")
+	}
+	return bhcode.New(bhcode.QueueTimeout, "waited %s", now.Sub(it.arrived))
+}
+
 // account is the state of one client account at the upstream.
 type account[K comparable] struct {
 	name    string
--- a/bhqueue/dispatch.go
+++ b/bhqueue/dispatch.go
@@ -49,9 +49,6 @@
 	a.queue = slices.DeleteFunc(a.queue, func(other *item[K]) bool { return other == it })
 	it.queued = false
 	q.queued--
-	if q.barrier == it {
-		q.barrier = nil
-	}
 }
 
 // release frees the slot of a running item.
@@ -68,18 +65,11 @@
 
 // dispatch starts queued items while there is room.
 func (q *Queue[K]) dispatch(now time.Time, update *Update[K]) {
-	for q.solo == nil && q.running < q.config.Slots {
-		it := q.barrier
-		if it == nil {
-			it = q.first(now)
-		}
+	for q.running < q.config.Slots {
+		it := q.first(now)
 		if it == nil {
 			break
 		}
-		if it.alone && q.running > 0 {
-			q.barrier = it
-			break
-		}
 		q.start(now, it)
 		update.Start = append(update.Start, it.id)
 	}
@@ -103,19 +93,30 @@
 func (q *Queue[K]) first(now time.Time) *item[K] {
 	var best *item[K]
 	for _, a := range q.accounts {
-		if len(a.queue) == 0 {
+		head := q.head(a)
+		if head == nil {
 			continue
 		}
 		if q.restrained(now, a) {
 			continue
 		}
-		if best == nil || q.before(a.queue[0], best) {
-			best = a.queue[0]
+		if best == nil || q.before(head, best) {
+			best = head
 		}
 	}
 	return best
 }
 
+// head returns the account's first queued item that may run beside what runs.
+func (q *Queue[K]) head(a *account[K]) *item[K] {
+	for _, it := range a.queue {
+		if !it.alone || q.solo == nil {
+			return it
+		}
+	}
+	return nil
+}
+
 func (q *Queue[K]) before(a, b *item[K]) bool {
 	if q.config.Policy == Fair && a.start != b.start {
 		return a.start < b.start
@@ -126,9 +127,6 @@
 // preempt stops the batch requests that started last until live ones fit.
 func (q *Queue[K]) preempt(update *Update[K]) {
 	room := max(q.config.Slots-q.running, 0)
-	if q.solo != nil || q.barrier != nil {
-		room = 0
-	}
 	for len(q.batch) > room {
 		last := len(q.batch) - 1
 		update.Preempt = append(update.Preempt, q.batch[last])
--- a/bhqueue/queue.go
+++ b/bhqueue/queue.go
@@ -57,7 +57,8 @@
 	Work int64
 	// Deadline is when the caller gives up; zero means never.
 	Deadline time.Time
-	// Alone says that the request must share the upstream with nothing else.
+	// Alone says that the request must share the upstream with no other request
+	// that has this set.
 	Alone bool
 }
 
@@ -94,9 +95,7 @@
 	running  int
 	queued   int
 	batch    []K
-	// barrier is the queued request that waits to run alone, solo the one that
-	// does.
-	barrier *item[K]
+	// solo is the running request that shares with no other of its kind.
 	solo    *item[K]
 	virtual float64
 	arrival uint64
@@ -196,8 +195,7 @@
 			if !now.Before(it.expires) {
 				retry := q.retry(a)
 				q.dequeue(it)
-				err := bhcode.New(bhcode.QueueTimeout, "waited %s", now.Sub(it.arrived))
-				update.refuse(it.id, err.WithRetryAfter(retry))
+				update.refuse(it.id, it.expired(now).WithRetryAfter(retry))
 			}
 		}
 	}
@@ -274,7 +272,7 @@
 }
 
 func (q *Queue[K]) free() int {
-	if q.queued > 0 || q.solo != nil || q.barrier != nil {
+	if q.queued > 0 {
 		return 0
 	}
 	return max(q.config.Slots-q.running-len(q.batch), 0)
--- a/bhroute/table.go
+++ b/bhroute/table.go
@@ -50,6 +50,9 @@
 	Prefix []uint64
 	// Work is the estimated work in tokens.
 	Work int64
+	// Alone says that the request must share its upstream with no other suspect;
+	// the least busy one is chosen.
+	Alone bool
 	// Exclude names upstreams that were tried already.
 	Exclude []string
 }
@@ -205,7 +208,11 @@
 		err := bhcode.New(bhcode.NoUpstream, "no upstream of group %s serves model %q", request.Group, request.Model)
 		return Choice{}, err.WithRetryAfter(time.Second)
 	}
-	i, reason := t.policy.Choose(request, options, t.random)
+	policy := t.policy
+	if request.Alone {
+		policy = LeastRequests{}
+	}
+	i, reason := policy.Choose(request, options, t.random)
 	choice := Choice{Upstream: options[i].Upstream, Host: options[i].Host, Reason: reason}
 	for k := 0; k < len(options) && len(choice.Alternatives) < maxAlternatives; k++ {
 		if k != i {
--- a/bhsidecar/admission.go
+++ b/bhsidecar/admission.go
@@ -116,12 +116,6 @@
 	}
 }
 
-// others returns how many requests run beside the one that asks.
-func (a *admission) others() int {
-	load := a.queue.Load()
-	return max(load.Running+load.Batch-1, 0)
-}
-
 // place is a slot that a batch item holds until it is released or preempted.
 type place struct {
 	admission *admission
--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -182,6 +182,7 @@
 	if err := e.awake(ctx); err != nil {
 		return bhbatch.Result{}, err
 	}
+	defer e.upstream.occupy()()
 	result, err := e.exchange(ctx, request, resume, body, emit)
 	if ctx.Err() == nil && bhcode.Is(err, bhcode.UpstreamLost) {
 		e.upstream.lost.Store(true)
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -52,6 +53,7 @@
 	store     *bhsync.Store
 	node      *bhsync.Node
 	streams   bhdrain.Inflight
+	crashes   *crashes
 	accepting sync.WaitGroup
 
 	mu       sync.Mutex
@@ -77,6 +79,9 @@
 		Logger:   logger,
 	})
 	s.node.Attach(s.mesh)
+	s.crashes = newCrashes(s.mesh, bhcrash.Source{Host: config.Settings.Host, Incarnation: config.Incarnation})
+	s.mesh.Handle(bhwire.KindVerdict, s.crashes.takeVerdict)
+	s.mesh.Attend(s.crashes.tell)
 	s.mesh.Attend(s.beat)
 	return s
 }
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -26,6 +26,8 @@
 	submit  bhwire.Submit
 	credit  *credit
 	cancel  context.CancelFunc
+	// begun says whether the answer's body has begun.
+	begun bool
 }
 
 func newStream(session *liveSession, id uint64, submit bhwire.Submit) *stream {
@@ -57,16 +59,18 @@
 		return endOf(err)
 	}
 	defer release()
+	run := s.session.sidecar.crashes.enter(upstream)
+	defer run.leave()
 	response, err := upstream.send(ctx, s.submit)
 	if err != nil {
-		return s.failed(ctx, upstream, err)
+		return s.failed(ctx, run, err)
 	}
 	defer response.Body.Close()
-	return s.forward(ctx, upstream, response)
+	return s.forward(ctx, run, response)
 }
 
 // forward sends the upstream's answer as far as the entry has given credit.
-func (s *stream) forward(ctx context.Context, upstream *upstream, response *http.Response) bhwire.End {
+func (s *stream) forward(ctx context.Context, run crashRun, response *http.Response) bhwire.End {
 	head := bhwire.Head{Status: response.StatusCode, Header: response.Header}
 	if err := s.session.link.SendMessage(ctx, bhwire.KindHead, s.id, head); err != nil {
 		return endOf(asRan(err))
@@ -75,15 +79,16 @@
 	for {
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
+			s.begun = true
 			if err := s.data(ctx, buffer[:n]); err != nil {
 				return endOf(asRan(err))
 			}
 		}
 		if errors.Is(err, io.EOF) {
-			return s.whole(upstream)
+			return s.whole(run.upstream)
 		}
 		if err != nil {
-			return s.failed(ctx, upstream, asRan(err))
+			return s.failed(ctx, run, asRan(err))
 		}
 	}
 }
@@ -115,17 +120,16 @@
 }
 
 // failed returns the end of a request that its upstream did not finish.
-func (s *stream) failed(ctx context.Context, upstream *upstream, err error) bhwire.End {
+func (s *stream) failed(ctx context.Context, run crashRun, err error) bhwire.End {
 	failure := bhcode.From(err)
 	if ctx.Err() != nil {
 		return endOf(s.interrupted(ctx, failure.Ran))
 	}
 	end := endOf(failure)
 	if failure.Ran != bhcode.RanNo {
-		end.Crashed = true
-		end.Shared = upstream.admission.others()
+		run.crashed(s.submit, s.begun, &end)
 	}
-	bhlog.Problem(s.session.sidecar.logger, "upstream.failed", err, "upstream", upstream.config.Name, "id", s.submit.ID)
+	bhlog.Problem(s.session.sidecar.logger, "upstream.failed", err, "upstream", run.upstream.config.Name, "id", s.submit.ID)
 	return end
 }
 
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -19,6 +19,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcache"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -35,6 +36,9 @@
 	config    bhconf.Upstream
 	models    []string
 	admission *admission
+	// watch knows what runs here, for the crashes of the upstream.
+	watch *bhcrash.Watch[uint64]
+	runs  *atomic.Uint64
 	// lost is set while the engine has not answered since a batch item lost it.
 	lost atomic.Bool
 	// cache holds the changes of an engine's prefix cache; nil for plain services.
@@ -52,6 +56,8 @@
 	return &upstream{
 		config:    config,
 		admission: newAdmission(config.Slots, weight),
+		watch:     bhcrash.NewWatch[uint64](),
+		runs:      new(atomic.Uint64),
 		kept: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idleConnections,
@@ -75,11 +81,7 @@
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.BadRequest, "request for the upstream")
 	}
-	transport := u.fresh
-	if submit.Idempotent {
-		transport = u.kept
-	}
-	response, err := transport.RoundTrip(request)
+	response, err := u.transport(submit).RoundTrip(request)
 	if err == nil {
 		return response, nil
 	}
@@ -89,12 +91,24 @@
 	return nil, bhcode.Wrap(err, bhcode.UpstreamFailed, "no answer from the upstream").WithRan(bhcode.RanUnknown)
 }
 
+// transport returns the one that sends the request once only. On connections
+// that it kept, the library's transport sends again what it takes for
+// repeatable when the upstream breaks the connection: a request without body
+// and with a safe method, or with an idempotency key.
+func (u *upstream) transport(submit bhwire.Submit) *http.Transport {
+	keyed := submit.Header.Get("Idempotency-Key") != "" || submit.Header.Get("X-Idempotency-Key") != ""
+	if !submit.Idempotent || keyed || submit.Method == http.MethodTrace {
+		return u.fresh
+	}
+	return u.kept
+}
+
 func (u *upstream) request(ctx context.Context, submit bhwire.Submit) (*http.Request, error) {
 	target := "http://" + u.config.Address + submit.Path
 	if submit.Query != "" {
 		target += "?" + submit.Query
 	}
-	request, err := http.NewRequestWithContext(ctx, submit.Method, target, body(submit.Body))
+	request, err := http.NewRequestWithContext(ctx, submit.Method, target, body(submit.Method, submit.Body))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -137,6 +151,13 @@
 	}
 }
 
+// occupy records that a batch item runs and returns the function that ends it.
+func (u *upstream) occupy() func() {
+	id := u.runs.Add(1)
+	u.watch.Enter(id)
+	return func() { u.watch.Leave(id) }
+}
+
 func (u *upstream) close() {
 	if u.unfollow != nil {
 		u.unfollow()
@@ -145,11 +166,16 @@
 	u.fresh.CloseIdleConnections()
 }
 
-func body(data []byte) io.Reader {
-	if len(data) == 0 {
-		return nil
+// body returns the request's body. An empty one of a safe method isn't nil, so
+// that the library's transport doesn't take the request for repeatable.
+func body(method string, data []byte) io.Reader {
+	switch {
+	case len(data) > 0:
+		return bytes.NewReader(data)
+	case method == http.MethodGet, method == http.MethodHead, method == http.MethodOptions:
+		return io.NopCloser(bytes.NewReader(nil))
 	}
-	return bytes.NewReader(data)
+	return nil
 }
 
 // upstreamSet holds the upstreams that the configuration places on this host.
@@ -209,6 +235,7 @@
 	fresh := newUpstream(declared, s.weight)
 	if old, ok := s.byName[declared.Name]; ok && old.config.Address == declared.Address {
 		fresh.kept, fresh.fresh = old.kept, old.fresh
+		fresh.watch, fresh.runs = old.watch, old.runs
 		fresh.cache, fresh.unfollow = old.cache, old.unfollow
 		fresh.admission = old.admission
 		fresh.admission.apply(fresh.admission.queue.Resize(max(declared.Slots, 1)))
--- a/bhwire/control.go
+++ b/bhwire/control.go
@@ -168,7 +168,7 @@
 	// Time since the last crash when the frame was sent.
 	Age time.Duration `json:"age"`
 
-	// Whether it ran alone in one of them.
+	// Whether no other suspect was on the upstream in one of them.
 	Alone bool `json:"alone"`
 
 	// Upstream crashes seen while it ran.
@@ -176,6 +176,9 @@
 
 	// Digest of the request's content.
 	Digest string `json:"digest"`
+
+	// Whether the answer hadn't begun, or few requests ran, in one of them.
+	Early bool `json:"early"`
 }
 
 // Vote asks an entry for its promise to honour a membership epoch of the limits,
--- a/bhwire/live.go
+++ b/bhwire/live.go
@@ -13,6 +13,9 @@
 
 // End closes a stream. Code 0 means that the answer is whole.
 type End struct {
+	// Whether no other suspect was on the upstream in one of these crashes.
+	Alone bool `json:"alone"`
+
 	// Sampled prefix block hashes that entered the upstream's cache since the last
 	// end on this session.
 	Cached []uint64 `json:"cached,omitempty,omitzero"`
@@ -23,6 +26,12 @@
 	// Whether the upstream died while it ran the request.
 	Crashed bool `json:"crashed"`
 
+	// Upstream crashes that the sidecar has seen while this content ran.
+	Crashes int `json:"crashes"`
+
+	// Whether the answer hadn't begun, or few requests ran, in one of these crashes.
+	Early bool `json:"early"`
+
 	// Sampled prefix block hashes that left the upstream's cache since then.
 	Evicted []uint64 `json:"evicted,omitempty,omitzero"`
 
@@ -57,7 +66,7 @@
 	Account string `json:"account"`
 
 	// Whether the request is suspected of crashing upstreams and must share an engine
-	// with nothing else.
+	// with no other suspect.
 	Alone bool `json:"alone"`
 
 	// Number of the attempt, from 1.
