Let a stopping entry serve on while its balancer learns of it

The load learned to spread requests over several entries by their readiness, as the platform's balancer does. Ruled out: passing over an entry for a fixed time after it closed a connection, since the load then came back just as it closed.

--- a/bhcmd/load.go
+++ b/bhcmd/load.go
@@ -25,7 +25,8 @@
 
 // LoadOptions are the flags of the load command.
 type LoadOptions struct {
-	URL    string
+	URLs   []string
+	Ready  []string
 	JSON   bool
 	Strict bool
 }
@@ -42,7 +43,7 @@
 				"that each answer is whole and belongs to its request. The upstreams must be stand-ins. "+
 				"Fails if an answer is wrong or ends early unseen.",
 			"baobab load --url http://127.0.0.1:8080 load.json",
-			"baobab load --url http://127.0.0.1:8080 --json --strict load.json",
+			"baobab load --url http://127.0.0.1:8080 --ready http://127.0.0.1:8082/readyz --json --strict load.json",
 			`cat load.json
     {"seed": 1, "duration": "10s",
      "accounts": [{"name": "zoo", "key": "...", "rate": 20}],
@@ -50,7 +51,8 @@
              {"class": "plain", "path": "/roster", "method": "GET", "weight": 0.2}]}`,
 		),
 		Flags: []cli.Flag{
-			&cli.StringFlag{Name: "url", Usage: "base `URL` of the entry", Required: true, Destination: &options.URL},
+			&cli.StringSliceFlag{Name: "url", Usage: "base `URL` of an entry; may be repeated", Required: true, Destination: &options.URLs},
+			&cli.StringSliceFlag{Name: "ready", Usage: "`URL` that answers 200 while the entry should get requests, for each --url in turn", Destination: &options.Ready},
 			&cli.BoolFlag{Name: "json", Usage: "print the results as JSON", Destination: &options.JSON},
 			&cli.BoolFlag{Name: "strict", Usage: "fail also if a request is refused or fails", Destination: &options.Strict},
 		},
@@ -72,10 +74,17 @@
 	if err != nil {
 		return err
 	}
+	targets := make([]bhload.Target, len(options.URLs))
+	for i, url := range options.URLs {
+		targets[i].URL = url
+		if i < len(options.Ready) {
+			targets[i].Ready = options.Ready[i]
+		}
+	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
 	sent := func() { fmt.Fprintln(factory.Streams.Err, "every request is sent") }
-	result := bhload.Run(ctx, strings.TrimSuffix(options.URL, "/"), config, sent)
+	result := bhload.Run(ctx, targets, config, sent)
 	if err := printLoad(factory.Streams.Out, options.JSON, result); err != nil {
 		return err
 	}
--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -39,6 +39,9 @@
 	return func(c echo.Context) error {
 		e.inflight.Add()
 		defer e.inflight.Done()
+		if e.leaving.Load() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
 		start := time.Now()
 		err := next(c)
 		if err != nil {
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -61,6 +62,7 @@
 	batches  *bhbatch.Handler
 	metrics  requestMetrics
 	inflight bhdrain.Inflight
+	leaving  atomic.Bool
 	server   *http.Server
 }
 
@@ -135,23 +137,6 @@
 	return tree.Run(serving)
 }
 
-// drain finishes the requests in flight within the drain bound.
-func (e *Entry) drain() {
-	bhlog.Event(e.logger, "entry.leaving", "inflight", e.inflight.Count())
-	bound := time.Duration(e.config.Settings.Drain)
-	if bound == 0 {
-		bound = bhconf.DefaultDrain
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), bound)
-	defer cancel()
-	err := e.server.Shutdown(ctx)
-	if unsettled := e.once.Close(ctx); unsettled != nil {
-		bhlog.Problem(e.logger, "claims.unsettled", unsettled)
-	}
-	_ = e.mesh.Close()
-	bhlog.Event(e.logger, "entry.drained", "whole", err == nil)
-}
-
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -162,26 +147,13 @@
 		}
 	})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) {
+		if e.leaving.Load() || !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
 	return mux
 }
 
-// announce keeps this host's entry in the platform's host list.
-func (e *Entry) announce(ctx context.Context) error {
-	settings := e.config.Settings
-	host := bhplatform.Host{
-		Name:   settings.Host,
-		Role:   string(bhconf.RoleEntry),
-		Link:   settings.Link,
-		Centre: settings.Centre,
-		State:  bhplatform.HostLive,
-	}
-	return bhplatform.KeepAnnounced(ctx, e.config.Platform.Hosts, func() bhplatform.Host { return host }, e.logger)
-}
-
 // accept runs a control session with another entry.
 func (e *Entry) accept(w http.ResponseWriter, r *http.Request) {
 	session, err := bhlink.Accept(w, r, e.linkConfig())
--- a/bhload/client.go
+++ b/bhload/client.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -24,14 +25,14 @@
 	errorEvent  = eventPrefix + `{"error"`
 )
 
-// client sends requests to one base URL.
+// client sends requests to entries.
 type client struct {
-	base    string
-	timeout time.Duration
-	http    *http.Client
+	timeout  time.Duration
+	balancer *balancer
+	close    func()
 }
 
-func newClient(base string, timeout time.Duration) *client {
+func newClient(targets []Target, timeout time.Duration) *client {
 	if timeout == 0 {
 		timeout = DefaultTimeout
 	}
@@ -40,18 +41,18 @@
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true,
 	}
-	return &client{base: base, timeout: timeout, http: &http.Client{Transport: transport}}
+	return &client{
+		timeout:  timeout,
+		balancer: newBalancer(targets, transport),
+		close:    transport.CloseIdleConnections,
+	}
 }
 
 // do sends the request and waits for its end. Times count from due.
 func (c *client) do(ctx context.Context, r Request, due time.Time) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	request, err := c.request(ctx, r)
-	if err != nil {
-		return Outcome{Verdict: Failed, Message: err.Error()}
-	}
-	response, err := c.http.Do(request)
+	response, err := c.balancer.do(func(base string) (*http.Request, error) { return newRequest(ctx, base, r) })
 	if err != nil {
 		return Outcome{Verdict: Failed, Message: err.Error(), Total: time.Since(due)}
 	}
@@ -70,7 +71,7 @@
 	return outcome
 }
 
-func (c *client) request(ctx context.Context, r Request) (*http.Request, error) {
+func newRequest(ctx context.Context, base string, r Request) (*http.Request, error) {
 	method, path, body := http.MethodPost, bhchat.Path, []byte(r.ID)
 	if r.Kind.Class == ClassPlain {
 		path = r.Kind.Path
@@ -84,7 +85,7 @@
 		}
 		body = data
 	}
-	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, base+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
@@ -208,3 +209,9 @@
 	end.First, end.Between = times.First, times.Between
 	return end
 }
+
+// isRefused reports whether the connection could not be made.
+func isRefused(err error) bool {
+	var failure *net.OpError
+	return errors.As(err, &failure) && failure.Op == "dial"
+}
--- a/bhload/load_test.go
+++ b/bhload/load_test.go
@@ -78,7 +78,7 @@
 	defer engine.Close()
 	chat := stream
 	chat.Class = ClassChat
-	result := Run(context.Background(), engine.URL, newConfig(stream, chat), nil)
+	result := Run(context.Background(), []Target{{URL: engine.URL}}, newConfig(stream, chat), nil)
 	assert.True(t, result.Clean(), "%v", result.Messages)
 	assert.Equal(t, int64(result.All.Sent), result.All.First.Count)
 	assert.NotZero(t, result.All.Between.Count)
@@ -86,7 +86,7 @@
 
 	plain := httptest.NewServer(bhstand.NewPlain(bhstand.PlainConfig{}))
 	defer plain.Close()
-	result = Run(context.Background(), plain.URL, newConfig(Kind{Class: ClassPlain, Path: "/p"}), nil)
+	result = Run(context.Background(), []Target{{URL: plain.URL}}, newConfig(Kind{Class: ClassPlain, Path: "/p"}), nil)
 	assert.True(t, result.Clean(), "%v", result.Messages)
 }
 
@@ -102,7 +102,7 @@
 	defer server.Close()
 	request, ok := NewSchedule(newConfig(kind), 0).Next()
 	require.True(t, ok)
-	return newClient(server.URL, 0).do(context.Background(), request, time.Now())
+	return newClient([]Target{{URL: server.URL}}, 0).do(context.Background(), request, time.Now())
 }
 
 func write(w io.Writer, events ...string) {
@@ -177,3 +177,29 @@
 	assert.True(t, result.Correct())
 	assert.EqualValues(t, 1, result.All.Total.Count)
 }
+
+// A target that refuses connections costs no request, one that isn't ready gets
+// none while others are.
+func TestBalancerPassesOverTargetsThatLeave(t *testing.T) {
+	gone := httptest.NewServer(http.NotFoundHandler())
+	gone.Close()
+	engine := bhstand.NewEngine(bhstand.EngineConfig{Models: map[string]string{"m": "1"}})
+	leaving := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer leaving.Close()
+	serving := httptest.NewServer(engine)
+	defer serving.Close()
+	client := newClient([]Target{
+		{URL: gone.URL},
+		{URL: leaving.URL, Ready: leaving.URL},
+		{URL: serving.URL},
+	}, 0)
+	client.balancer.check(t.Context(), 1)
+	schedule := NewSchedule(newConfig(stream), 0)
+	for range 5 {
+		request, ok := schedule.Next()
+		require.True(t, ok)
+		assert.Equal(t, Good, client.do(context.Background(), request, time.Now()).Verdict)
+	}
+}
--- a/bhload/run.go
+++ b/bhload/run.go
@@ -8,12 +8,17 @@
 	"github.com/baobabhaven/baobabhaven/bhconf"
 )
 
-// Run puts the load on the entry at the base URL and returns once every request
-// has ended. It calls sent, if not nil, when the last request has been sent.
+// Run puts the load on the targets, in turn, and returns once
+// every request has ended. It calls sent, if not nil, when the last request has been sent.
 // When ctx ends, no more requests are sent and those that run are cancelled.
-func Run(ctx context.Context, base string, config Config, sent func()) Result {
-	client := newClient(base, time.Duration(config.Timeout))
-	defer client.http.CloseIdleConnections()
+func Run(ctx context.Context, targets []Target, config Config, sent func()) Result {
+	client := newClient(targets, time.Duration(config.Timeout))
+	defer client.close()
+	var watching sync.WaitGroup
+	watched, stop := context.WithCancel(ctx)
+	watching.Go(func() { client.balancer.watch(watched) })
+	defer watching.Wait()
+	defer stop()
 	recorder := newRecorder()
 	start := time.Now()
 	var senders, requests sync.WaitGroup
--- a/scenario/overhead_test.go
+++ b/scenario/overhead_test.go
@@ -59,7 +59,7 @@
 	config := loadOf(bhload.Kind{Class: bhload.ClassStream, Model: "rota", Tokens: 500, Prompt: 1000}, 20, measured)
 	for b.Loop() {
 		before := w.processorTimes(b)
-		result := bhload.Run(context.Background(), w.url(portEntry), config, nil)
+		result := bhload.Run(context.Background(), []bhload.Target{{URL: w.url(portEntry)}}, config, nil)
 		after := w.processorTimes(b)
 		require.True(b, result.Clean(), "%v", result.Messages)
 		tokens := float64(result.All.Between.Count + result.All.First.Count)
@@ -75,10 +75,10 @@
 func pair(w *world, kind bhload.Kind, rate float64, duration time.Duration) (direct, through bhload.Result) {
 	var group sync.WaitGroup
 	group.Go(func() {
-		direct = bhload.Run(context.Background(), w.url(portSidecar+offsetEngine), loadOf(kind, rate, duration), nil)
+		direct = bhload.Run(context.Background(), []bhload.Target{{URL: w.url(portSidecar + offsetEngine)}}, loadOf(kind, rate, duration), nil)
 	})
 	group.Go(func() {
-		through = bhload.Run(context.Background(), w.url(portEntry), loadOf(kind, rate, duration), nil)
+		through = bhload.Run(context.Background(), []bhload.Target{{URL: w.url(portEntry)}}, loadOf(kind, rate, duration), nil)
 	})
 	group.Wait()
 	return direct, through
