--- /dev/null
+++ b/bhconf/check_config.go
@@ -0,0 +1,222 @@
+package bhconf
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Limits of a configuration.
+const (
+	MaxAccounts  = 20000
+	MaxKeys      = 1000
+	MaxModels    = 1000
+	MaxGroups    = 1000
+	MaxUpstreams = 20000
+	MaxRoutes    = 1000
+	// MaxRate is the highest rate in requests per second, and the largest burst.
+	MaxRate = 1e6
+	// MaxWeight is the largest weight.
+	MaxWeight = 1000
+	// MaxSlots is the largest number of requests at once in an upstream.
+	MaxSlots = 10000
+	// MaxRouteTimeout is the longest deadline of a route.
+	MaxRouteTimeout = time.Hour
+
+	maxPrefix = 256
+)
+
+// reservedPrefix starts the paths that entries serve themselves.
+const reservedPrefix = "/v1"
+
+var methods = []string{"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"}
+
+// Check returns every mistake in the configuration.
+func (c Config) Check() Problems {
+	checker := &checker{config: c, groups: make(map[string]Kind)}
+	if c.Format != Format {
+		checker.add("format", fmt.Sprintf("must be %d", Format))
+	}
+	for _, group := range c.Groups {
+		if _, ok := checker.groups[group.Name]; !ok {
+			checker.groups[group.Name] = group.Kind
+		}
+	}
+	checker.checkSizes()
+	checker.checkAccounts()
+	checker.checkGroups()
+	checker.checkModels()
+	checker.checkUpstreams()
+	checker.checkRoutes()
+	return checker.Problems
+}
+
+type checker struct {
+	Problems
+	config Config
+	groups map[string]Kind
+}
+
+func (c *checker) checkSizes() {
+	sizes := []struct {
+		path      string
+		size, max int
+	}{
+		{"accounts", len(c.config.Accounts), MaxAccounts},
+		{"models", len(c.config.Models), MaxModels},
+		{"groups", len(c.config.Groups), MaxGroups},
+		{"upstreams", len(c.config.Upstreams), MaxUpstreams},
+		{"routes", len(c.config.Routes), MaxRoutes},
+	}
+	for _, list := range sizes {
+		if list.size > list.max {
+			c.add(list.path, fmt.Sprintf("has %d elements, at most %d are allowed", list.size, list.max))
+		}
+	}
+}
+
+func (c *checker) checkAccounts() {
+	names, digests := make(map[string]int), make(map[string]int)
+	for i, account := range c.config.Accounts {
+		path := fmt.Sprintf("accounts[%d]", i)
+		c.checkName(path+".name", account.Name)
+		c.checkOnce(path+".name", "accounts", account.Name, i, names)
+		c.checkNumber(path+".rate", account.Rate, 0, MaxRate)
+		c.checkNumber(path+".burst", account.Burst, 1, MaxRate)
+		if account.Weight != 0 {
+			c.checkNumber(path+".weight", account.Weight, 0, MaxWeight)
+		}
+		if len(account.Keys) > MaxKeys {
+			c.add(path+".keys", fmt.Sprintf("has %d elements, at most %d are allowed", len(account.Keys), MaxKeys))
+		}
+		c.checkKeys(path, i, account.Keys, digests)
+	}
+}
+
+func (c *checker) checkKeys(path string, account int, keys []Key, digests map[string]int) {
+	names := make(map[string]int)
+	for i, key := range keys {
+		at := fmt.Sprintf("%s.keys[%d]", path, i)
+		c.checkName(at+".name", key.Name)
+		c.checkOnce(at+".name", path+".keys", key.Name, i, names)
+		if clearKey.MatchString(key.Digest) {
+			c.add(at+".digest", "holds a key in clear text; write its digest")
+			continue
+		}
+		c.checkDigest(at+".digest", key.Digest)
+		c.checkOnce(at+".digest", "a key of accounts", key.Digest, account, digests)
+	}
+}
+
+// checkNumber requires that value is at least low, or above it if low is 0.
+func (c *checker) checkNumber(path string, value, low, high float64) {
+	switch {
+	case math.IsNaN(value) || value < low || value == 0:
+		if low == 0 {
+			c.add(path, "must be above 0")
+			return
+		}
+		c.add(path, fmt.Sprintf("must be at least %g", low))
+	case value > high:
+		c.add(path, fmt.Sprintf("must be at most %g", high))
+	}
+}
+
+func (c *checker) checkGroups() {
+	names := make(map[string]int)
+	for i, group := range c.config.Groups {
+		path := fmt.Sprintf("groups[%d]", i)
+		c.checkName(path+".name", group.Name)
+		c.checkOnce(path+".name", "groups", group.Name, i, names)
+		if group.Kind != KindEngine && group.Kind != KindPlain {
+			c.add(path+".kind", "must be engine or plain")
+		}
+	}
+}
+
+func (c *checker) checkModels() {
+	names := make(map[string]int)
+	for i, model := range c.config.Models {
+		path := fmt.Sprintf("models[%d]", i)
+		c.checkName(path+".name", model.Name)
+		c.checkOnce(path+".name", "models", model.Name, i, names)
+		c.checkName(path+".version", model.Version)
+		c.checkGroup(path+".group", model.Group, KindEngine)
+	}
+}
+
+// checkGroup requires that the group exists and, if kind isn't empty, has it.
+func (c *checker) checkGroup(path, name string, kind Kind) {
+	found, ok := c.groups[name]
+	switch {
+	case !ok:
+		c.add(path, fmt.Sprintf("names the unknown group %q", name))
+	case kind != "" && found != kind:
+		c.add(path, fmt.Sprintf("must be a group of the kind %s", kind))
+	}
+}
+
+func (c *checker) checkUpstreams() {
+	names, addresses := make(map[string]int), make(map[string]int)
+	for i, upstream := range c.config.Upstreams {
+		path := fmt.Sprintf("upstreams[%d]", i)
+		c.checkName(path+".name", upstream.Name)
+		c.checkOnce(path+".name", "upstreams", upstream.Name, i, names)
+		c.checkGroup(path+".group", upstream.Group, "")
+		c.checkName(path+".host", upstream.Host)
+		if c.checkAddress(path+".address", upstream.Address) {
+			c.checkOnce(path+".address", "upstreams", place(upstream), i, addresses)
+		}
+		if upstream.Slots < 1 || upstream.Slots > MaxSlots {
+			c.add(path+".slots", fmt.Sprintf("must be 1 to %d", MaxSlots))
+		}
+		if !slices.Contains([]State{"", StateServe, StateLeave}, upstream.State) {
+			c.add(path+".state", "must be serve or leave")
+		}
+	}
+}
+
+// place is the upstream's address, which is each host's own on loopback.
+func place(upstream Upstream) string {
+	address, err := netip.ParseAddrPort(upstream.Address)
+	if err == nil && address.Addr().IsLoopback() {
+		return upstream.Host + " " + upstream.Address
+	}
+	return upstream.Address
+}
+
+func (c *checker) checkRoutes() {
+	prefixes := make(map[string]int)
+	for i, route := range c.config.Routes {
+		path := fmt.Sprintf("routes[%d]", i)
+		c.checkPrefix(path+".prefix", route.Prefix)
+		c.checkOnce(path+".prefix", "routes", route.Prefix, i, prefixes)
+		c.checkGroup(path+".group", route.Group, KindPlain)
+		for j, method := range route.Idempotent {
+			at := fmt.Sprintf("%s.idempotent[%d]", path, j)
+			if !slices.Contains(methods, method) {
+				c.add(at, "must be one of "+strings.Join(methods, ", "))
+			}
+			if slices.Contains(route.Idempotent[:j], method) {
+				c.add(at, "stands twice")
+			}
+		}
+		if timeout := time.Duration(route.Timeout); timeout < 0 || timeout > MaxRouteTimeout {
+			c.add(path+".timeout", fmt.Sprintf("must be 0 to %s", MaxRouteTimeout))
+		}
+	}
+}
+
+func (c *checker) checkPrefix(path, prefix string) {
+	switch {
+	case !strings.HasPrefix(prefix, "/") || strings.ContainsAny(prefix, "?#% \t\r\n\\") || strings.Contains(prefix, "//"):
+		c.add(path, "must be a path such as /bookings")
+	case len(prefix) > maxPrefix:
+		c.add(path, fmt.Sprintf("must have at most %d characters", maxPrefix))
+	case prefix == reservedPrefix || strings.HasPrefix(prefix, reservedPrefix+"/"):
+		c.add(path, "is kept for the entry itself")
+	}
+}
--- a/bhconf/parse.go
+++ b/bhconf/parse.go
@@ -1,8 +1,9 @@
 package bhconf
 
 import (
-	"bytes"
 	"encoding/json"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -11,55 +12,57 @@
 // DefaultDrain bounds a graceful stop when the settings name no bound.
 const DefaultDrain = 30 * time.Second
 
+// MaxDocument is the largest settings or configuration file in bytes.
+const MaxDocument = 8 << 20
+
 // ParseSettings reads settings and checks them. The error is Problems if the
 // document is JSON but wrong.
 func ParseSettings(data []byte) (Settings, error) {
-	var settings Settings
-	if err := decode(data, &settings); err != nil {
-		return settings, err
-	}
-	return settings, settings.Check().Err()
+	return parse(data, Settings.Check)
 }
 
 // ParseConfig reads a configuration and checks it. The error is Problems if
 // the document is JSON but wrong.
 func ParseConfig(data []byte) (Config, error) {
-	var config Config
-	if err := decode(data, &config); err != nil {
-		return config, err
-	}
-	return config, config.Check().Err()
+	return parse(data, Config.Check)
 }
 
-// Check returns every mistake in the settings.
-func (s Settings) Check() Problems {
-	var problems Problems
-	if s.Role != RoleEntry && s.Role != RoleSidecar {
-		problems.add("role", "must be entry or sidecar")
+// parse reads a document and returns every mistake of its form and of its
+// content. Values of a wrong form are left out before the content is checked.
+func parse[T any](data []byte, check func(T) Problems) (T, error) {
+	var document T
+	if len(data) > MaxDocument {
+		return document, errors.Errorf("reading JSON: document of %d bytes, at most %d are allowed", len(data), MaxDocument)
 	}
-	if s.Host == "" {
-		problems.add("host", "must not be empty")
+	form, err := newForm(data)
+	if err != nil {
+		return document, errors.Wrap(err, "reading JSON")
 	}
-	if s.Link == "" {
-		problems.add("link", "must be an address")
+	clean, err := json.Marshal(form.check(&document))
+	if err != nil {
+		return document, errors.Wrap(err, "reading JSON")
 	}
-	if len(s.Secrets) == 0 {
-		problems.add("secrets", "must name at least one secret")
+	if err := json.Unmarshal(clean, &document); err != nil {
+		return document, errors.Wrap(err, "reading JSON")
 	}
-	return problems
+	return document, merge(form.problems, check(document)).Err()
 }
 
-// Check returns every mistake in the configuration.
-func (c Config) Check() Problems {
-	var problems Problems
-	if c.Format != Format {
-		problems.add("format", "must be 1")
+// merge returns the problems of form and those of content at other places.
+func merge(form, content Problems) Problems {
+	merged := form
+	for _, problem := range content {
+		if !form.cover(problem.Path) {
+			merged = append(merged, problem)
+		}
 	}
-	return problems
+	return merged
 }
 
-func decode(data []byte, target any) error {
-	decoder := json.NewDecoder(bytes.NewReader(data))
-	decoder.DisallowUnknownFields()
-	return errors.Wrap(decoder.Decode(target), "reading JSON")
+// cover reports whether one of the problems is at path or at a place around it.
+func (p Problems) cover(path string) bool {
+	return slices.ContainsFunc(p, func(problem Problem) bool {
+		rest, inside := strings.CutPrefix(path, problem.Path)
+		return inside && (rest == "" || rest[0] == '.' || rest[0] == '[')
+	})
 }
--- a/bhconf/settings.go
+++ b/bhconf/settings.go
@@ -28,8 +28,17 @@
 	// Secrets are the fleet secrets. All are accepted and all are offered, so
 	// that they can be rotated one at a time.
 	Secrets []string `json:"secrets"`
+	// Operators may use the operators' API. With none, a fleet secret opens it.
+	Operators []Operator `json:"operators,omitempty"`
 	// Log is the lowest level logged: debug, info, warn or error.
 	Log string `json:"log,omitempty"`
 	// Drain bounds a graceful stop; zero means DefaultDrain.
 	Drain Duration `json:"drain,omitzero"`
 }
+
+// Operator is a person or program that may use the operators' API.
+type Operator struct {
+	Name string `json:"name"`
+	// Digest is "sha256:" and the hexadecimal SHA-256 of the operator's token.
+	Digest string `json:"digest"`
+}
