Add the operators' API and its commands

apply, diff, show, history, rollback, status, check, key issue, revoke and list go through an entry's admin address.

--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/baobabhaven/baobabhaven/bhadmin"
 	"github.com/baobabhaven/baobabhaven/bhbatch"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
@@ -140,6 +141,12 @@
 func (e *Entry) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.Handle("/admin/", bhadmin.NewServer(bhadmin.Config{
+		Node:      e.node,
+		Operators: e.config.Settings.Operators,
+		Secrets:   e.config.Settings.Secrets,
+		Logger:    e.logger,
+	}))
 	mux.Handle("/metrics", e.config.Metrics.Handler())
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		if e.store.Current() == nil {
