--- a/bhcrash/fleet_test.go
+++ b/bhcrash/fleet_test.go
@@ -108,9 +108,15 @@
 	return f.random.IntN(n)
 }
 
+func (f *testFleet) delay() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.lag
+}
+
 func (f *testFleet) spread(source Source, digest string, evidence Evidence) {
 	for _, entry := range f.entries {
-		wait := time.Duration(f.draw(int(f.lag)))
+		wait := time.Duration(f.draw(int(f.delay())))
 		time.AfterFunc(wait, func() {
 			late := evidence
 			late.Age = wait
@@ -234,7 +240,8 @@
 }
 
 // TestKillerThroughSeveralEntriesAtOnce sends the request once and then through
-// all entries at once, before its trial has ended anywhere.
+// all entries at once, before its trial has ended anywhere. The news of the
+// second crash is slow.
 func TestKillerThroughSeveralEntriesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newTestFleet(4, 6)
@@ -242,6 +249,9 @@
 		time.Sleep(time.Second)
 		group.Go(func() { _ = f.request(f.entries[0], "kill") })
 		time.Sleep(100*time.Millisecond + f.lag)
+		f.mutex.Lock()
+		f.lag = 5 * time.Second
+		f.mutex.Unlock()
 		for i := range 12 {
 			group.Go(func() {
 				err := f.request(f.entries[i%4], "kill")
--- a/bhqueue/account.go
+++ b/bhqueue/account.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
@@ -81,6 +82,7 @@
 		q.forget(now)
 		a = &account[K]{name: name, updated: now}
 		q.accounts[name] = a
+		q.order = append(q.order, a)
 	}
 	a.weight = 1
 	if q.config.Weight != nil {
@@ -92,12 +94,14 @@
 
 // forget drops accounts that have nothing here and used nothing lately.
 func (q *Queue[K]) forget(now time.Time) {
-	for name, a := range q.accounts {
+	q.order = slices.DeleteFunc(q.order, func(a *account[K]) bool {
 		idle := a.running == 0 && len(a.queue) == 0 && now.Sub(a.seen) > useWindow
-		if idle && a.finish <= q.virtual {
-			delete(q.accounts, name)
+		if !idle || a.finish > q.virtual {
+			return false
 		}
-	}
+		delete(q.accounts, a.name)
+		return true
+	})
 }
 
 // restrained reports whether the account is heavy and has to leave the slots
@@ -113,7 +117,7 @@
 		return false
 	}
 	use, demand, weights, running := 0.0, 0.0, 0.0, 0
-	for _, other := range q.accounts {
+	for _, other := range q.order {
 		if other == a {
 			continue
 		}
--- a/bhqueue/dispatch.go
+++ b/bhqueue/dispatch.go
@@ -92,7 +92,7 @@
 // first returns the queued item whose turn it is, or nil if none may run.
 func (q *Queue[K]) first(now time.Time) *item[K] {
 	var best *item[K]
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		head := q.head(a)
 		if head == nil {
 			continue
@@ -161,7 +161,7 @@
 		return newcomer
 	}
 	last := newcomer
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		if n := len(a.queue); n > 0 && a.queue[n-1].start > last.start {
 			last = a.queue[n-1]
 		}
--- a/bhqueue/pace.go
+++ b/bhqueue/pace.go
@@ -41,7 +41,7 @@
 // before others.
 func (q *Queue[K]) estimate(now time.Time, it *item[K]) time.Duration {
 	var ahead int64
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		if a != it.account && len(a.queue) > 0 && q.restrained(now, a) {
 			continue
 		}
@@ -62,7 +62,7 @@
 		own += it.work
 	}
 	weights := 0.0
-	for _, other := range q.accounts {
+	for _, other := range q.order {
 		if len(other.queue) > 0 || other.running > 0 {
 			weights += other.weight
 		}
--- a/bhqueue/queue.go
+++ b/bhqueue/queue.go
@@ -91,10 +91,13 @@
 	mutex    sync.Mutex
 	config   Config
 	accounts map[string]*account[K]
-	items    map[K]*item[K]
-	running  int
-	queued   int
-	batch    []K
+	// order holds the accounts, the oldest first, so that sums and choices don't
+	// depend on the order of a map.
+	order   []*account[K]
+	items   map[K]*item[K]
+	running int
+	queued  int
+	batch   []K
 	// solo is the running request that shares with no other of its kind.
 	solo    *item[K]
 	virtual float64
@@ -190,7 +193,7 @@
 	defer q.mutex.Unlock()
 	now := time.Now()
 	var update Update[K]
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		for _, it := range slices.Clone(a.queue) {
 			if !now.Before(it.expires) {
 				retry := q.retry(a)
@@ -210,7 +213,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	var next time.Time
-	for _, a := range q.accounts {
+	for _, a := range q.order {
 		for _, it := range a.queue {
 			if next.IsZero() || it.expires.Before(next) {
 				next = it.expires
--- a/bhqueue/simulation_test.go
+++ b/bhqueue/simulation_test.go
@@ -95,7 +95,7 @@
 			_ = r.tally.first.RecordValue((time.Since(r.start[id]) + simPrefill).Microseconds())
 		}
 		r.tally.work += r.works[id]
-		took := time.Duration(r.works[id]) * simService / 300
+		took := time.Duration(r.works[id])*simService/300 + time.Duration(id%9973)
 		time.AfterFunc(took, func() {
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
