Let batch work step aside by what live requests see

A pacer learns from the times between tokens what each request on the engine adds, and lets in as many batch items as keep the 99th percentile within the allowed rise of its group (one setting, rise). A live request stops the items that have no token yet; none starts before its first token; beside live requests prompts of batch items are worked on one at a time; a reserve grows with the square of the live requests.

A job without open chunks is passed over for 30 s instead of 10 s.

--- a/bhbatch/runner.go
+++ b/bhbatch/runner.go
@@ -25,7 +25,7 @@
 	// leadsAge is the age at which the list of open jobs is read again.
 	leadsAge = 5 * time.Second
 	// dryInterval is how long a job without open chunks is passed over.
-	dryInterval = 10 * time.Second
+	dryInterval = 30 * time.Second
 	// renewTick is the time between two looks at the leases held.
 	renewTick = time.Second
 	// stopTimeout bounds giving back leases at a stop.
--- a/bhconf/config.go
+++ b/bhconf/config.go
@@ -67,6 +67,10 @@
 type Group struct {
 	Name string `json:"name"`
 	Kind Kind   `json:"kind"`
+	// Rise is the allowed rise of the 99th percentile of the time between tokens
+	// of live requests, at most 1; zero means 0.05. Batch work gets more of the
+	// group's engines with a higher one.
+	Rise float64 `json:"rise,omitempty"`
 }
 
 // State says whether an upstream serves or leaves.
--- a/bhsidecar/admission.go
+++ b/bhsidecar/admission.go
@@ -156,6 +156,18 @@
 // Preempted is closed when a live request took the slot.
 func (p *place) Preempted() <-chan struct{} { return p.preempted }
 
+// preempt takes the slot back at once, unless that has happened.
+func (p *place) preempt() {
+	a := p.admission
+	a.queue.Return(p.id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.places[p.id] == p {
+		close(p.preempted)
+		delete(a.places, p.id)
+	}
+}
+
 // Release gives the slot back.
 func (p *place) Release() {
 	a := p.admission
--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -141,8 +141,8 @@
 func (g *batchGate) Acquire(ctx context.Context) (bhbatch.Place, error) {
 	for {
 		for _, upstream := range g.engines() {
-			if place, _ := upstream.admission.tryOffer(); place != nil {
-				return &batchPlace{place: place, upstream: upstream}, nil
+			if place := upstream.aside.start(upstream); place != nil {
+				return place, nil
 			}
 		}
 		select {
@@ -157,14 +157,28 @@
 type batchPlace struct {
 	*place
 	upstream *upstream
+	// first is set once the item has its first token; guarded by aside.
+	first bool
+}
+
+// Release implements bhbatch.Place.
+func (p *batchPlace) Release() {
+	p.upstream.aside.end(p)
+	p.place.Release()
 }
 
 // Engine implements bhbatch.Place.
-func (p *batchPlace) Engine() bhbatch.Engine { return batchEngine{upstream: p.upstream} }
+func (p *batchPlace) Engine() bhbatch.Engine {
+	return batchEngine{upstream: p.upstream, begun: p.begun}
+}
+
+func (p *batchPlace) begun() { p.upstream.aside.begun(p) }
 
 // batchEngine runs batch items on one engine.
 type batchEngine struct {
 	upstream *upstream
+	// begun is called at the first token.
+	begun func()
 }
 
 // Run implements bhbatch.Engine.
@@ -183,6 +197,10 @@
 		return bhbatch.Result{}, err
 	}
 	defer e.upstream.occupy()()
+	// A live request that shares the engine with the item is not alone on it.
+	id := e.upstream.runs.Add(1)
+	e.upstream.watch.Enter(id)
+	defer e.upstream.watch.Leave(id)
 	result, err := e.exchange(ctx, request, resume, body, emit)
 	if ctx.Err() == nil && bhcode.Is(err, bhcode.UpstreamLost) {
 		e.upstream.lost.Store(true)
@@ -224,7 +242,11 @@
 	if response.StatusCode != http.StatusOK {
 		return bhbatch.Result{}, refusal(response)
 	}
-	answer := batchAnswer{request: request, resume: resume, emit: emit}
+	begin := sync.OnceFunc(e.begun)
+	answer := batchAnswer{request: request, resume: resume, emit: func(text string, tokens int) {
+		begin()
+		emit(text, tokens)
+	}}
 	return answer.read(response.Body)
 }
 
--- a/bhsidecar/batch_test.go
+++ b/bhsidecar/batch_test.go
@@ -22,7 +22,7 @@
 	server := httptest.NewServer(engine)
 	t.Cleanup(server.Close)
 	declared := bhconf.Upstream{Name: "rota-1", Group: "rota", Slots: 8, Address: strings.TrimPrefix(server.URL, "http://")}
-	return batchEngine{upstream: newUpstream(declared, evenWeight)}
+	return batchEngine{upstream: newUpstream(declared, evenWeight), begun: func() {}}
 }
 
 func batchItem(prompt string) bhbatch.Item {
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -61,16 +61,18 @@
 	defer release()
 	run := s.session.sidecar.crashes.enter(upstream)
 	defer run.leave()
+	watch := upstream.aside.arrive()
+	defer watch.end()
 	response, err := upstream.send(ctx, s.submit)
 	if err != nil {
 		return s.failed(ctx, run, err)
 	}
 	defer response.Body.Close()
-	return s.forward(ctx, run, response)
+	return s.forward(ctx, run, response, watch)
 }
 
 // forward sends the upstream's answer as far as the entry has given credit.
-func (s *stream) forward(ctx context.Context, run crashRun, response *http.Response) bhwire.End {
+func (s *stream) forward(ctx context.Context, run crashRun, response *http.Response, watch *liveWatch) bhwire.End {
 	head := bhwire.Head{Status: response.StatusCode, Header: response.Header}
 	if err := s.session.link.SendMessage(ctx, bhwire.KindHead, s.id, head); err != nil {
 		return endOf(asRan(err))
@@ -80,9 +82,11 @@
 		n, err := response.Body.Read(buffer)
 		if n > 0 {
 			s.begun = true
+			watch.token(time.Now())
 			if err := s.data(ctx, buffer[:n]); err != nil {
 				return endOf(asRan(err))
 			}
+			watch.passed(time.Now())
 		}
 		if errors.Is(err, io.EOF) {
 			return s.whole(run.upstream)
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -39,6 +39,7 @@
 	// watch knows what runs here, for the crashes of the upstream.
 	watch *bhcrash.Watch[uint64]
 	runs  *atomic.Uint64
+	aside *aside
 	// lost is set while the engine has not answered since a batch item lost it.
 	lost atomic.Bool
 	// cache holds the changes of an engine's prefix cache; nil for plain services.
@@ -58,6 +59,7 @@
 		admission: newAdmission(config.Slots, weight),
 		watch:     bhcrash.NewWatch[uint64](),
 		runs:      new(atomic.Uint64),
+		aside:     newAside(max(config.Slots, 1), 0),
 		kept: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: idleConnections,
@@ -205,9 +207,11 @@
 	next := make(map[string]*upstream)
 	for _, declared := range snapshot.Host(s.host) {
 		fresh := s.successor(declared, modelsOf(snapshot.Config, declared.Group))
-		if group, _ := snapshot.Group(declared.Group); group.Kind == bhconf.KindEngine && fresh.cache == nil {
+		group, _ := snapshot.Group(declared.Group)
+		if group.Kind == bhconf.KindEngine && fresh.cache == nil {
 			fresh.follow()
 		}
+		fresh.aside.pacer.SetRise(group.Rise)
 		next[declared.Name] = fresh
 	}
 	for name, old := range s.byName {
@@ -237,7 +241,8 @@
 		fresh.kept, fresh.fresh = old.kept, old.fresh
 		fresh.watch, fresh.runs = old.watch, old.runs
 		fresh.cache, fresh.unfollow = old.cache, old.unfollow
-		fresh.admission = old.admission
+		fresh.admission, fresh.aside = old.admission, old.aside
+		fresh.aside.pacer.Resize(max(declared.Slots, 1))
 		fresh.admission.apply(fresh.admission.queue.Resize(max(declared.Slots, 1)))
 	}
 	fresh.models = models
