--- a/bhconf/check_config.go
+++ b/bhconf/check_config.go
@@ -134,6 +134,9 @@
 		if group.Kind != KindEngine && group.Kind != KindPlain {
 			c.add(path+".kind", "must be engine or plain")
 		}
+		if !(group.Rise >= 0 && group.Rise <= 1) {
+			c.add(path+".rise", "must be from 0 to 1")
+		}
 	}
 }
 
