Hold the limits fleet-wide in the entry

Cause: the entry limited each account on its own host. An entry is ready once it owns a part of the accounts, or after 10 s if it can borrow. Conclusion: the limiter of one host is gone.

--- a/bhentry/chat.go
+++ b/bhentry/chat.go
@@ -35,7 +35,7 @@
 	if !ok {
 		return bhcode.New(bhcode.NotFound, "no model has the name %q", request.Model)
 	}
-	if err := e.spend(caller.identity.Account); err != nil {
+	if err := e.spend(c.Request().Context(), caller.identity.Account); err != nil {
 		return err
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), chatTimeout)
--- a/bhentry/drain.go
+++ b/bhentry/drain.go
@@ -39,6 +39,7 @@
 	if unsettled := e.once.Close(ctx); unsettled != nil {
 		bhlog.Problem(e.logger, "claims.unsettled", unsettled)
 	}
+	e.limiter.Drain()
 	_ = e.mesh.Close()
 	bhlog.Event(e.logger, "entry.drained", "whole", err == nil)
 }
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhkey"
+	"github.com/baobabhaven/baobabhaven/bhlimit"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmesh"
@@ -57,7 +58,7 @@
 	fleet    *fleet
 	budgets  *bhroute.Budgets
 	suspects *suspects
-	limiter  Limiter
+	limiter  *bhlimit.Limiter
 	guard    *bhkey.Guard
 	once     *bhonce.Keeper
 	batches  *bhbatch.Handler
@@ -92,7 +93,7 @@
 		Logger:  logger,
 	})
 	e.guard = bhkey.NewGuard(bhkey.GuardConfig{})
-	e.limiter = newLocalLimiter(e.store)
+	e.limiter = newLimiter(config, e.mesh, e.store, logger)
 	e.batches = bhbatch.NewHandler(bhbatch.HandlerConfig{
 		Store:   bhbatch.NewStore(bhbatch.StoreConfig{Platform: config.Platform, Logger: logger}),
 		Logger:  logger,
@@ -121,6 +122,7 @@
 	tree.AddRestarted("sync", e.node.Run)
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
+	tree.AddRestarted("limits", e.limiter.Run)
 	tree.AddRestarted("claims", e.once.Run)
 	tree.AddRestarted("trials", e.suspects.run)
 	tree.AddRestarted("watch", e.fleet.watch)
@@ -154,7 +156,7 @@
 		}
 	})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if e.leaving.Load() || !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) {
+		if e.leaving.Load() || !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) || !e.limiter.Ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
--- a/bhentry/limiter.go
+++ b/bhentry/limiter.go
@@ -1,74 +1,84 @@
 package bhentry
 
 import (
-	"sync"
-	"time"
+	"context"
 
 	"github.com/labstack/echo/v4"
-	"golang.org/x/time/rate"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhlimit"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhmesh"
 	"github.com/baobabhaven/baobabhaven/bhsync"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-// Limiter keeps client accounts within their rate and burst.
-type Limiter interface {
-	// Take spends cost tokens of the account, or says how long to wait.
-	Take(account string, cost float64) (ok bool, wait time.Duration)
+// limitPeers sends the limiter's messages over the control sessions.
+type limitPeers struct {
+	mesh   *bhmesh.Mesh
+	logger bhlog.Logger
 }
 
-// localLimiter limits each account on this host alone.
-type localLimiter struct {
-	store *bhsync.Store
-
-	mu      sync.Mutex
-	buckets map[string]*rate.Limiter
-}
-
-func newLocalLimiter(store *bhsync.Store) *localLimiter {
-	return &localLimiter{store: store, buckets: make(map[string]*rate.Limiter)}
+// Entries implements bhlimit.Peers.
+func (p limitPeers) Entries() []string {
+	var hosts []string
+	for _, peer := range p.mesh.Peers(string(bhconf.RoleEntry)) {
+		hosts = append(hosts, peer.Host)
+	}
+	return hosts
 }
 
-// Take implements Limiter.
-func (l *localLimiter) Take(account string, _ float64) (bool, time.Duration) {
-	bucket := l.bucket(account)
-	now := time.Now()
-	reservation := bucket.ReserveN(now, 1)
-	if !reservation.OK() {
-		return false, time.Second
+// Send implements bhlimit.Peers.
+func (p limitPeers) Send(host string, kind bhwire.Kind, message any) {
+	frame, err := bhwire.Encode(kind, 0, message)
+	if err == nil {
+		err = p.mesh.Send(host, frame)
 	}
-	if wait := reservation.DelayFrom(now); wait > 0 {
-		reservation.CancelAt(now)
-		return false, wait
+	if err != nil {
+		bhlog.Trace(p.logger, "limits.lost", "peer", host, "kind", kind, "err", err)
 	}
-	return true, 0
 }
 
-func (l *localLimiter) bucket(account string) *rate.Limiter {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	bucket := l.buckets[account]
-	if bucket == nil {
-		declared, _ := l.store.Current().Account(account)
-		bucket = rate.NewLimiter(rate.Limit(declared.Rate), int(declared.Burst))
-		l.buckets[account] = bucket
+func newLimiter(config Config, mesh *bhmesh.Mesh, store *bhsync.Store, logger bhlog.Logger) *bhlimit.Limiter {
+	limiter := bhlimit.New(bhlimit.Config{
+		Host:        config.Settings.Host,
+		Incarnation: config.Incarnation,
+		Table:       config.Platform.Table,
+		Peers:       limitPeers{mesh: mesh, logger: logger},
+		Accounts: func() (int64, []bhconf.Account) {
+			state := store.Current()
+			if state == nil {
+				return 0, nil
+			}
+			return state.Version, state.Config.Accounts
+		},
+		Logger: logger,
+	})
+	receive := func(peer bhwire.Hello, frame bhwire.Frame) error {
+		if peer.Role != string(bhconf.RoleEntry) {
+			return bhcode.New(bhcode.FrameInvalid, "%s frame from a %s", frame.Kind, peer.Role)
+		}
+		return limiter.Receive(peer, frame)
 	}
-	return bucket
+	mesh.Handle(bhwire.KindGrant, receive)
+	mesh.Handle(bhwire.KindVote, receive)
+	return limiter
 }
 
 // spend takes a token for one request of the account.
-func (e *Entry) spend(account string) error {
-	ok, wait := e.limiter.Take(account, 1)
-	if ok {
+func (e *Entry) spend(ctx context.Context, account string) error {
+	verdict := e.limiter.Take(ctx, account, 1)
+	if verdict.OK {
 		return nil
 	}
-	return bhcode.New(bhcode.RateExceeded, "the client account %s is over its rate and burst", account).WithRetryAfter(wait)
+	return bhcode.New(bhcode.RateExceeded, "the client account %s is over its rate and burst", account).WithRetryAfter(verdict.RetryAfter)
 }
 
 // spending wraps a handler whose requests count against the account's rate.
 func (e *Entry) spending(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		if err := e.spend(callerOf(c).identity.Account); err != nil {
+		if err := e.spend(c.Request().Context(), callerOf(c).identity.Account); err != nil {
 			return err
 		}
 		return next(c)
--- a/bhentry/plain.go
+++ b/bhentry/plain.go
@@ -67,7 +67,7 @@
 	if err != nil {
 		return caller, err
 	}
-	return caller, e.spend(caller.identity.Account)
+	return caller, e.spend(c.Request().Context(), caller.identity.Account)
 }
 
 func plainSubmit(c echo.Context, route bhconf.Route, caller caller, body []byte) bhwire.Submit {
--- a/bhlimit/limiter.go
+++ b/bhlimit/limiter.go
@@ -17,10 +17,13 @@
 	// VoteInterval is the time between two calls of Node.Ask.
 	VoteInterval = 350 * time.Millisecond
 	// ReadInterval is the time between two reads of the membership row.
-	ReadInterval = time.Second
+	ReadInterval = 400 * time.Millisecond
 	// DefaultWait is how long a request may wait for borrowed tokens.
 	DefaultWait = 250 * time.Millisecond
 
+	// joinTime is how long a new host may take to become a member.
+	joinTime = 10 * time.Second
+
 	outboxSize = 4096
 )
 
@@ -55,6 +58,7 @@
 	config    Config
 	outbox    chan Message
 	proposals chan proposal
+	started   time.Time
 
 	mu      sync.Mutex
 	node    *Node
@@ -79,6 +83,7 @@
 		config:    config,
 		outbox:    make(chan Message, outboxSize),
 		proposals: make(chan proposal, 1),
+		started:   time.Now(),
 		node:      NewNode(NodeConfig{Self: self, Terms: config.Terms}),
 		waiters:   map[string]*waiters{},
 	}
@@ -99,11 +104,16 @@
 	return l.wait(ctx, account, cost, verdict)
 }
 
-// Ready reports whether this host may spend tokens of its own or can borrow.
+// Ready reports whether this host may spend tokens of its own. If it can't
+// become a member within joinTime, being able to borrow suffices.
 func (l *Limiter) Ready() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.node.Ready(time.Now())
+	now := time.Now()
+	if l.node.Owns(now) {
+		return true
+	}
+	return now.Sub(l.started) > joinTime && l.node.Borrows(now)
 }
 
 // Receive handles a grant or vote frame of another entry.
--- a/bhlimit/node.go
+++ b/bhlimit/node.go
@@ -55,12 +55,11 @@
 // Knows reports whether the account is configured.
 func (n *Node) Knows(account string) bool { return n.buckets[account] != nil }
 
-// Ready reports whether this host may spend what it owns, or can borrow from
-// a member that it hears.
-func (n *Node) Ready(now time.Time) bool {
-	if n.fence.closed && n.ground.holds(now) {
-		return true
-	}
+// Owns reports whether this host may spend what it owns.
+func (n *Node) Owns(now time.Time) bool { return n.fence.closed && n.ground.holds(now) }
+
+// Borrows reports whether this host hears a member that may lend to it.
+func (n *Node) Borrows(now time.Time) bool {
 	for _, m := range n.fence.epoch.Members {
 		if m.Host != n.self.Host && n.fence.alive(now, m.Host) {
 			return true
@@ -108,15 +107,16 @@
 }
 
 // Want asks another host for the tokens that the account's waiting requests,
-// of total cost waiting, lack. It reports whether an answer is awaited, after
-// which Take may succeed.
+// of total cost waiting, lack. It reports whether an answer is awaited, or
+// the confirmation of this host's epoch, after which Take may succeed.
 func (n *Node) Want(now time.Time, account string, waiting float64) ([]Message, bool) {
 	b := n.bucket(now, account)
 	if b == nil {
 		return nil, false
 	}
 	outs, pending := b.want(now, waiting, n.borrower(now))
-	return messages(outs), pending
+	renewing := b.lapsed && n.fence.member()
+	return messages(outs), pending || renewing
 }
 
 // Finish returns loans that were made for waiting requests. It is called when
