--- a/bhlimit/measure_test.go
+++ b/bhlimit/measure_test.go
@@ -155,7 +155,7 @@
 		fmt.Fprintf(&table, "| %s | %.3f%% | %.2f%% | %.2f%% | %.0f | %.0f | %d |\n", tr.name, 100*s.wrongShare(),
 			100*split.wrongShare(), 100*rows.wrongShare(), float64(s.sent)/hosts, float64(s.bytes)/hosts, s.writes)
 	}
-	b.Log("\n" + table.String())
+	fmt.Print("\n", table.String())
 }
 
 func (tr traffic) run(choose func(*sim, map[string]Limit) policy, weigh bool) *sim {
