--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -31,15 +31,17 @@
 
 // rig is an entry and a sidecar for each upstream handler, in one process.
 type rig struct {
-	t   *testing.T
-	url string
+	t        *testing.T
+	url      string
+	platform *bhstand.Platform
 }
 
 // newRig serves each handler as an upstream of the group "svc" under the route
 // /svc, behind a sidecar of its own.
 func newRig(t *testing.T, handlers ...http.Handler) *rig {
 	t.Helper()
-	platform := httptest.NewServer(bhstand.NewPlatform(bhstand.PlatformConfig{}))
+	stand := bhstand.NewPlatform(bhstand.PlatformConfig{})
+	platform := httptest.NewServer(stand)
 	t.Cleanup(platform.Close)
 	config := bhconf.Config{
 		Format:   bhconf.Format,
@@ -65,7 +67,7 @@
 		run(t, func(ctx context.Context) error { return bhsidecar.New(sidecarConfig(t, sidecar)).Run(ctx) })
 	}
 	run(t, func(ctx context.Context) error { return bhentry.New(entryConfig(t, entry)).Run(ctx) })
-	r := &rig{t: t, url: "http://" + entry.Listen}
+	r := &rig{t: t, url: "http://" + entry.Listen, platform: stand}
 	require.Eventually(t, func() bool {
 		response, err := http.Get("http://" + entry.Admin + "/readyz")
 		if err != nil {
@@ -85,6 +87,22 @@
 	return http.DefaultClient.Do(request)
 }
 
+// post sends a non-idempotent request under an idempotency key and returns the
+// status and the whole body.
+func (r *rig) post(ctx context.Context, key, body string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.url+"/svc/deposit", strings.NewReader(body))
+	require.NoError(r.t, err)
+	request.Header.Set("Authorization", "Bearer "+testKey)
+	request.Header.Set("Idempotency-Key", key)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(answer), err
+}
+
 // call sends a request and returns the status and the whole body.
 func (r *rig) call(method, path string) (int, string, error) {
 	response, err := r.open(r.t.Context(), method, path)
