Prove revocations and pushes over separate processes

Found: /readyz answered 503 with an empty body, which the scenarios' pattern for ready matched, so they didn't wait; it says so in the body now. Found: the test of a table that comes back first passed without its mechanism, since the others recorded the revocation within the poll; they now reach the table later.

With a mechanism off, seen to fail: no wait before the table counts, no trust limit, no pull, no push (bound on the time in force), no spread of revocations, no record of those learnt, no probes, no polling, streams not ended when out of contact. Without waking the links on a relayed revocation the tests still pass, since the next probe wakes them.

--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -157,7 +157,7 @@
 	})
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
 		if e.leaving.Load() || !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) || !e.limiter.Ready() {
-			w.WriteHeader(http.StatusServiceUnavailable)
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
 		}
 	})
 	return mux
--- a/bhsync/fleet_test.go
+++ b/bhsync/fleet_test.go
@@ -46,8 +46,10 @@
 	cut bool
 	// online says that the platform is reached all the same.
 	online bool
-	island map[string]bool
-	frozen chan struct{}
+	// offline says that the platform isn't reached.
+	offline bool
+	island  map[string]bool
+	frozen  chan struct{}
 }
 
 func newFleet(t *testing.T, entries, sidecars int) *fleet {
@@ -191,10 +193,16 @@
 	}
 }
 
+func (h *fakeHost) setOffline(offline bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.offline = offline
+}
+
 func (h *fakeHost) isCut() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.cut && !h.online
+	return h.offline || h.cut && !h.online
 }
 
 func (h *fakeHost) reaches(other *fakeHost) bool {
--- a/bhsync/node_test.go
+++ b/bhsync/node_test.go
@@ -17,6 +17,7 @@
 const (
 	forceLimit    = 7 * time.Second
 	revokeCalm    = 2 * time.Second
+	pushLimit     = 200 * time.Millisecond
 	controlBytes  = 14 << 10
 	changesPerDay = 2500
 	tableReads    = 2000
@@ -81,6 +82,7 @@
 		whole, err := testConfig(1400).Canonical()
 		require.NoError(t, err)
 		t.Logf("worst time in force %s, most bytes/s sent %.0f, table reads/s %.1f, whole copy %d bytes", worst, most, reads, len(whole))
+		assert.Less(t, worst, pushLimit)
 		assert.Less(t, most, controlBytes/2.0)
 		assert.Less(t, reads, tableReads/20.0)
 	})
--- a/bhsync/poll.go
+++ b/bhsync/poll.go
@@ -154,8 +154,8 @@
 			n.durable[digest] = true
 		}
 		n.mu.Unlock()
-		if len(added) > 0 {
-			bhlog.Event(n.config.Logger, "key.revoked", "count", len(added), "from", "table")
+		if len(digests) > 0 {
+			bhlog.Event(n.config.Logger, "key.durable", "count", len(digests), "new", len(added))
 			n.notify()
 		}
 		if all {
--- a/bhsync/revoke_test.go
+++ b/bhsync/revoke_test.go
@@ -104,9 +104,17 @@
 		cut.mu.Lock()
 		cut.online = true
 		cut.mu.Unlock()
+		for _, host := range f.all() {
+			host.setOffline(host != cut)
+		}
 		f.platform.set(func(p *fakePlatform) { p.down = false })
-		for range 200 {
+		for i := range 200 {
 			time.Sleep(50 * time.Millisecond)
+			if i == 50 {
+				for _, host := range f.all() {
+					host.setOffline(false)
+				}
+			}
 			require.False(t, works(cut, key))
 		}
 		assert.True(t, works(cut, other))
