--- a/capacity/entry_test.go
+++ b/capacity/entry_test.go
@@ -19,7 +19,7 @@
 func BenchmarkEntryControl(b *testing.B) {
 	for _, sidecars := range []int{40, 80, 160, 320} {
 		b.Run(fmt.Sprintf("sidecars=%d", sidecars), func(b *testing.B) {
-			platform, url := startPlatform(b, fleetConfig(targetAccounts, sidecars, "127.0.0.1:9"))
+			platform, url := startPlatform(b, fleetConfig(targetAccounts, sidecars, nobody))
 			startFakeSidecars(b, platform, sidecars)
 			settings := entrySettings(url)
 			entry := startDaemon(b, settings)
@@ -40,7 +40,7 @@
 func BenchmarkEntryAccounts(b *testing.B) {
 	for _, accounts := range []int{175, 350, 700, 1400} {
 		b.Run(fmt.Sprintf("accounts=%d", accounts), func(b *testing.B) {
-			platform, url := startPlatform(b, fleetConfig(accounts, 1, "127.0.0.1:9"))
+			platform, url := startPlatform(b, fleetConfig(accounts, 1, nobody))
 			startFakeSidecars(b, platform, 1)
 			settings := entrySettings(url)
 			entry := startDaemon(b, settings)
--- a/capacity/fakes_test.go
+++ b/capacity/fakes_test.go
@@ -28,7 +28,7 @@
 )
 
 // fleetConfig declares a fleet with so many client accounts and sidecars.
-func fleetConfig(accounts, sidecars int, upstream string) bhconf.Config {
+func fleetConfig(accounts, sidecars int, upstream func(n int) string) bhconf.Config {
 	config := bhconf.Config{
 		Format: bhconf.Format,
 		Groups: []bhconf.Group{{Name: "svc", Kind: bhconf.KindPlain}},
@@ -37,20 +37,25 @@
 	for i := range accounts {
 		name := fmt.Sprintf("account-%04d", i)
 		config.Accounts = append(config.Accounts, bhconf.Account{
-			Name: name, Rate: 1e5, Burst: 1e5, Keys: []bhconf.Key{{Name: "main", Digest: bhkey.Digest(name)}},
+			Name: name, Rate: 1e5, Burst: 1e5, Keys: []bhconf.Key{{Name: "main", Digest: bhkey.Digest(keyOf(name))}},
 		})
 	}
 	for i := range sidecars {
 		for k := range upstreamsPerHost {
 			config.Upstreams = append(config.Upstreams, bhconf.Upstream{
 				Name: fmt.Sprintf("svc-%03d-%d", i, k), Group: "svc", Host: sidecarName(i),
-				Address: upstream, Slots: 64, State: bhconf.StateServe,
+				Address: upstream(upstreamsPerHost*i + k), Slots: 64, State: bhconf.StateServe,
 			})
 		}
 	}
 	return config
 }
 
+// nobody returns the n-th of many addresses where nothing listens.
+func nobody(n int) string { return fmt.Sprintf("127.80.%d.%d:9", n/250, 1+n%250) }
+
+func keyOf(account string) string { return "bh_key_of_" + account }
+
 func sidecarName(i int) string { return fmt.Sprintf("sidecar-%03d", i) }
 
 // startPlatform serves a stand-in of the platform with the configuration.
