--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -24,6 +24,8 @@
 	maxRefusal    = 4 << 10
 	// pathProbe is asked of an engine after a crash; any answer will do.
 	pathProbe = "/load"
+	// probeInterval is the time between two probes, and the limit of each.
+	probeInterval = time.Second
 )
 
 // batch runs a runner of batch items for each group of engines that serve on
@@ -133,8 +135,28 @@
 	return engines
 }
 
+// serves reports whether an engine that answers has the model. A runner leases
+// nothing for engines that are down.
 func (g *batchGate) serves(model string) bool {
-	return slices.ContainsFunc(g.engines(), func(u *upstream) bool { return slices.Contains(u.models, model) })
+	return slices.ContainsFunc(g.engines(), func(u *upstream) bool {
+		return slices.Contains(u.models, model) && u.answers()
+	})
+}
+
+// answers reports whether the engine has answered since a batch item lost it.
+// It asks the engine at most once each probeInterval.
+func (u *upstream) answers() bool {
+	if !u.lost.Load() {
+		return true
+	}
+	now := time.Now().UnixNano()
+	last := u.probed.Load()
+	if now-last < int64(probeInterval) || !u.probed.CompareAndSwap(last, now) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), probeInterval)
+	defer cancel()
+	return batchEngine{upstream: u}.awake(ctx) == nil
 }
 
 // Acquire implements bhbatch.Gate.
--- a/bhsidecar/batch_test.go
+++ b/bhsidecar/batch_test.go
@@ -55,6 +55,7 @@
 	assert.True(t, bhcode.Is(err, bhcode.UpstreamLost), "%v", err)
 	_, err = engine.Run(context.Background(), batchItem("week"), bhbatch.Resume{}, ignore)
 	assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "%v", err)
+	assert.False(t, engine.upstream.answers())
 }
 
 func TestBatchItemErrorsByCause(t *testing.T) {
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -42,6 +42,8 @@
 	aside *aside
 	// lost is set while the engine has not answered since a batch item lost it.
 	lost atomic.Bool
+	// probed is when the lost engine was last asked, in nanoseconds since 1970.
+	probed atomic.Int64
 	// cache holds the changes of an engine's prefix cache; nil for plain services.
 	cache *bhcache.Log
 	// unfollow stops following the cache and waits.
