--- a/bhstand/weights.go
+++ b/bhstand/weights.go
@@ -45,7 +45,7 @@
 	return &Weights{size: size, limiter: rate.NewLimiter(limit, weightsChunk)}
 }
 
-// Sent returns the bytes sent so far.
+// Sent returns the bytes given to connections so far.
 func (s *Weights) Sent() int64 { return s.sent.Load() }
 
 // Close implements io.Closer.
@@ -61,10 +61,10 @@
 		if err := s.limiter.WaitN(r.Context(), n); err != nil {
 			return
 		}
+		s.sent.Add(int64(n))
 		if _, err := w.Write(chunk[:n]); err != nil {
 			return
 		}
-		s.sent.Add(int64(n))
 		left -= n
 	}
 }
