--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/baobabhaven/baobabhaven/bhcmd"
 	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
@@ -218,3 +219,26 @@
 		}
 	}
 }
+
+// readyCommand waits for dev's ready line and sets URL, ADMIN and KEY, a key of
+// the account.
+func readyCommand(ts *testscript.TestScript, neg bool, args []string) {
+	need(ts, neg, args, 2, 2, "ready NAME ACCOUNT")
+	p := worldOf(ts).process(ts, args[0])
+	pattern := regexp.MustCompile(`(?m)^\{"url".*$`)
+	var line []byte
+	found := until(func() bool {
+		text, err := os.ReadFile(p.output)
+		ts.Check(err)
+		line = pattern.Find(text)
+		return line != nil
+	})
+	if !found {
+		ts.Fatalf("%s never became ready", args[0])
+	}
+	var ready bhcmd.DevReady
+	ts.Check(json.Unmarshal(line, &ready))
+	ts.Setenv("URL", ready.URL)
+	ts.Setenv("ADMIN", ready.Admin)
+	ts.Setenv("KEY", ready.Keys[args[1]])
+}
--- a/scenario/process_test.go
+++ b/scenario/process_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -22,6 +23,14 @@
 	waitInterval = 20 * time.Millisecond
 )
 
+// Ports for dev, which serves on 127.0.0.1 only: below the ephemeral range and
+// unlikely to be shared with another test run.
+const (
+	devPort  = 10_000
+	devPorts = 50
+	devRange = 20_000
+)
+
 type worldKey struct{}
 
 // world is the state of one scenario: its processes and its address.
@@ -41,6 +50,7 @@
 	w := newWorld(env.WorkDir)
 	env.Values[worldKey{}] = w
 	env.Defer(w.close)
+	env.Setenv("DEVPORT", strconv.Itoa(devPort+os.Getpid()*devPorts%devRange))
 	return nil
 }
 
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -53,6 +53,7 @@
 			"finish":  finishCommand,
 			"switch":  switchCommand,
 			"call":    callCommand,
+			"ready":   readyCommand,
 			"once":    onceCommand,
 			"submit":  submitCommand,
 			"results": resultsCommand,
