Try suspects in an outage of the table; test who gets new work

With the table down a suspect was refused, so an engine that died then cost its innocents too. Now an entry runs one trial of a digest at a time without the row; the news of crashes doesn't need the table. Not bounded: the killer through several entries at once in an outage.

TestWhoGetsNewWork: silence over 2 s, leaving, restarts, late heartbeats of an earlier start.

--- a/bhcrash/trial.go
+++ b/bhcrash/trial.go
@@ -5,6 +5,7 @@
 	"crypto/rand"
 	"encoding/hex"
 	"encoding/json"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -37,18 +38,29 @@
 
 // Trials gives the right to run a suspect. The platform's table sees to it that
 // one request of a digest at a time has it in the whole fleet.
+//
+// While the table is down, only one request at a time has it on this host. News
+// of crashes between hosts doesn't need the table, so a request that is sent
+// again still crashes two upstreams at most, unless it comes through several
+// entries at once.
 type Trials struct {
 	table bhplatform.Table
+
+	mutex sync.Mutex
+	local map[string]bool
 }
 
 // NewTrials returns trials kept in the table.
 func NewTrials(table bhplatform.Table) *Trials {
-	return &Trials{table: table}
+	return &Trials{table: table, local: make(map[string]bool)}
 }
 
 // Trial is the right to run one suspect, apart from others.
 type Trial struct {
-	trials  *Trials
+	trials *Trials
+	digest string
+	// local says that the table doesn't know of the trial.
+	local   bool
 	key     string
 	row     trialRow
 	version bhplatform.Version
@@ -56,17 +68,15 @@
 
 // Begin waits for the digest's trial and takes it. The deadline is when the
 // caller gives up. It returns nil as soon as wanted reports false: another
-// trial has ended meanwhile, and the digest must be judged again.
+// trial has ended meanwhile, and the digest must be judged again. The error is
+// Quarantined if a trial condemned the digest, QueueTimeout if ctx ended.
 func (t *Trials) Begin(ctx context.Context, digest string, deadline time.Time, wanted func() bool) (*Trial, error) {
-	trial := &Trial{trials: t, key: Prefix + digest}
+	trial := &Trial{trials: t, digest: digest, key: Prefix + digest}
 	trial.row = trialRow{ID: newID(), Deadline: deadline, Began: time.Now()}
 	for wanted() {
-		held, err := trial.take(ctx)
-		if bhcode.Is(err, bhcode.Quarantined) {
-			return nil, err
-		}
+		held, err := trial.try(ctx)
 		if err != nil {
-			return nil, bhcode.Wrap(err, bhcode.PlatformUnavailable, "the request's trial can't be taken").WithRetryAfter(time.Second)
+			return nil, err
 		}
 		if held {
 			return trial.recheck(ctx, wanted), nil
@@ -80,6 +90,42 @@
 	return nil, nil
 }
 
+// try takes the trial on this host and in the table, if that can be asked.
+func (t *Trial) try(ctx context.Context) (bool, error) {
+	if !t.trials.enter(t.digest) {
+		return false, nil
+	}
+	held, err := t.take(ctx)
+	if bhcode.Is(err, bhcode.Quarantined) {
+		t.trials.leave(t.digest)
+		return false, err
+	}
+	if err != nil && ctx.Err() == nil {
+		t.local = true
+		return true, nil
+	}
+	if !held {
+		t.trials.leave(t.digest)
+	}
+	return held, nil
+}
+
+func (t *Trials) enter(digest string) bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.local[digest] {
+		return false
+	}
+	t.local[digest] = true
+	return true
+}
+
+func (t *Trials) leave(digest string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	delete(t.local, digest)
+}
+
 // recheck gives the trial back if it's no longer wanted: an earlier one may
 // have ended just before this one was taken.
 func (t *Trial) recheck(ctx context.Context, wanted func() bool) *Trial {
@@ -94,6 +140,10 @@
 // the table as well, since another entry may take the trial before it hears of
 // the crash. A row that can't be written lapses at the trial's deadline.
 func (t *Trial) End(ctx context.Context, crashed bool) error {
+	defer t.trials.leave(t.digest)
+	if t.local {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), endTimeout)
 	defer cancel()
 	write := bhplatform.Write{Key: t.key, Delete: true, Expect: t.version}
--- a/bhentry/fleet_test.go
+++ b/bhentry/fleet_test.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -76,3 +78,40 @@
 		assert.Equal(t, "b", target.upstream)
 	}
 }
+
+// A silent host gets no new work after 2 s, a leaving one none from its next
+// heartbeat on; one that starts again is used from its first heartbeat on.
+func TestWhoGetsNewWork(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(fleetConfig{Self: "e", Mesh: bhmesh.New(bhmesh.Config{Logger: bhlog.Nop()}), Logger: bhlog.Nop()})
+		f.sidecar("s").live = &liveLink{}
+		beat := func(incarnation uint64, leaving bool) {
+			load := bhwire.Load{Upstream: "u", Group: "g", Serving: true, Slots: 1}
+			frame, err := bhwire.Encode(bhwire.KindBeat, 0, bhwire.Beat{Whole: true, Leaving: leaving, Loads: []bhwire.Load{load}})
+			require.NoError(t, err)
+			require.NoError(t, f.takeBeat(bhwire.Hello{Host: "s", Incarnation: incarnation}, frame))
+		}
+		getsWork := func() bool {
+			_, err := f.pick(bhroute.Request{Group: "g"}, "id")
+			return err == nil
+		}
+		assert.False(t, getsWork(), "no heartbeat yet")
+		beat(1, false)
+		assert.True(t, getsWork())
+		time.Sleep(beatTimeout)
+		assert.True(t, getsWork())
+		time.Sleep(time.Millisecond)
+		assert.False(t, getsWork(), "silent for over 2 s")
+		beat(2, false)
+		assert.True(t, getsWork(), "started again")
+		beat(2, true)
+		for range 60 {
+			assert.False(t, getsWork(), "leaving")
+			time.Sleep(time.Second)
+		}
+		beat(1, false)
+		assert.False(t, getsWork(), "heartbeat of the earlier start")
+		beat(3, false)
+		assert.True(t, getsWork())
+	})
+}
