--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -33,6 +33,7 @@
 type rig struct {
 	t        *testing.T
 	url      string
+	admin    string
 	platform *bhstand.Platform
 }
 
@@ -67,7 +68,7 @@
 		run(t, func(ctx context.Context) error { return bhsidecar.New(sidecarConfig(t, sidecar)).Run(ctx) })
 	}
 	run(t, func(ctx context.Context) error { return bhentry.New(entryConfig(t, entry)).Run(ctx) })
-	r := &rig{t: t, url: "http://" + entry.Listen, platform: stand}
+	r := &rig{t: t, url: "http://" + entry.Listen, admin: "http://" + entry.Admin, platform: stand}
 	require.Eventually(t, func() bool {
 		response, err := http.Get("http://" + entry.Admin + "/readyz")
 		if err != nil {
