Test the limits over real processes

Cause: the bound was shown in simulated time only. Conclusion: the bound holds over three entries with one paused and woken and another killed. The pause alone is not proved by it: under a flood the paused entry has few tokens left; TestBound covers that.

--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -60,6 +60,8 @@
 			"items":   itemsCommand,
 			"answers": answersCommand,
 			"batchid": batchIDCommand,
+			"flood":   floodCommand,
+			"bounded": boundedCommand,
 		},
 	})
 }
