Hold batch's step-aside to the stated target and list what misses it

Cause: the scheme's test had bounds of its own (1.12, 1.15, 1.2, a use of 0.4) where the target is 1.1, 1.05 and 0.9; a test may not follow the measured figure. Ruled out: the bounds for one pattern only. They are replaced by stricter ones: the target for each pattern, and less harm than every way weighed, over the whole span. Before: all green. After: bursty meets the target; calm misses it between tokens (1.08 against 1.05), the evening in capacity (0.55 against 0.9).

--- a/bhpace/pace_test.go
+++ b/bhpace/pace_test.go
@@ -57,27 +57,36 @@
 	return points
 }
 
-// TestStepAsideHarmsLiveRequestsLittle holds the scheme to its bounds, and
-// requires more than the comparisons achieve.
-func TestStepAsideHarmsLiveRequestsLittle(t *testing.T) {
+// Target of issue 5 for the step-aside scheme, as ratios to the run without
+// batch and as a part of the capacity that live requests left.
+const (
+	targetFirst   = 1.1
+	targetBetween = 1.05
+	targetUsed    = 0.9
+)
+
+func checkTarget(t *testing.T, name string) {
+	i := slices.IndexFunc(patterns, func(p pattern) bool { return p.name == name })
+	got := measure(patterns[i], []named{{"step aside", stepAside, 0.1}}, wholeSpan)[0]
+	assert.LessOrEqual(t, got.first, targetFirst, "first token")
+	assert.LessOrEqual(t, got.between, targetBetween, "between tokens")
+	assert.GreaterOrEqual(t, got.used, targetUsed, "capacity used")
+}
+
+func TestStepAsideTargetBursty(t *testing.T) { checkTarget(t, "bursty") }
+
+func TestStepAsideTargetCalm(t *testing.T) { checkTarget(t, "calm") }
+
+func TestStepAsideTargetEvening(t *testing.T) { checkTarget(t, "evening") }
+
+// TestStepAsideHarmsLessThanTheComparisons holds the scheme against the ways
+// that were weighed, on the same arrivals.
+func TestStepAsideHarmsLessThanTheComparisons(t *testing.T) {
 	for _, p := range patterns {
-		list := []named{others()[1], {"step aside", stepAside, 0.05}, {"step aside", stepAside, 0.1}}
-		span := shortSpan
-		if p.name == "bursty" {
-			span = wholeSpan
-		}
-		points := measure(p, list, span)
-		equal, low, high := points[0], points[1], points[2]
-		assert.LessOrEqual(t, low.between, 1.055, p.name)
-		assert.LessOrEqual(t, low.first, 1.12, p.name)
-		assert.Greater(t, low.used, 0.4, p.name)
-		assert.LessOrEqual(t, high.first, 1.2, p.name)
-		assert.Greater(t, high.used, 0.5, p.name)
-		assert.Greater(t, equal.first, 2.5, "%s: the harm of equal priority", p.name)
-		if p.name == "bursty" {
-			assert.LessOrEqual(t, high.first, 1.1)
-			assert.LessOrEqual(t, high.between, 1.05)
-			assert.GreaterOrEqual(t, high.used, 0.9)
+		points := measure(p, append(others()[1:], named{"step aside", stepAside, 0.05}), wholeSpan)
+		own := points[len(points)-1]
+		for _, other := range points[:len(points)-1] {
+			assert.Less(t, own.first, other.first, "%s: first token against %s", p.name, other.name)
 		}
 	}
 }
--- a/bhpace/simulation_test.go
+++ b/bhpace/simulation_test.go
@@ -15,9 +15,8 @@
 	simPerWord = 100 * time.Microsecond
 	simPiece   = 256
 	simResume  = 32
-	// wholeSpan is simulated for the tables, shortSpan in each test run.
+	// wholeSpan is the time simulated.
 	wholeSpan = 10 * time.Minute
-	shortSpan = 4 * time.Minute
 )
 
 // request is a live request or a batch item in the simulation.
