Let scenarios wait for status 200, not only for a body

Under the race detector on a busy machine roll-entries failed once: two of 1,045 requests were refused with 4003. The wait for the restarted entry's readiness took the empty body of a 503 for ready, so the other entry was stopped too early; a fault of the scenario, which is stricter now.

--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -62,7 +62,7 @@
 	}
 }
 
-// pollCommand waits until the answer to a GET matches a pattern.
+// pollCommand waits until a GET gets status 200 and a body that matches a pattern.
 func pollCommand(ts *testscript.TestScript, neg bool, args []string) {
 	need(ts, neg, args, 2, 2, "poll URL PATTERN")
 	pattern, err := regexp.Compile(args[1])
@@ -78,7 +78,7 @@
 		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
 		last = string(body)
-		return err == nil && pattern.Match(body)
+		return err == nil && response.StatusCode == http.StatusOK && pattern.Match(body)
 	})
 	if !found {
 		ts.Fatalf("%s never answered %s, last: %s", args[0], args[1], last)
