Tell the error in a stream before cutting it; give each test rig its own addresses

Cause: a stream that broke off was cut without a word, so its caller couldn't tell a withdrawn key from a lost upstream (scenario revoke-key found no code 1009 on a busy machine, when no request was at its start); and the test rig picked ports that others took before it did. One test sent the same request 20 times to an upstream that drops it, and the quarantine rightly took it for the cause at times. Ruled out: easing any of the checks. After: an event stream carries the error's code, then the connection is cut; addresses below the system's own range, for each process; different requests in the test.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -19,6 +19,8 @@
 // maxBody is the largest body of a live request in bytes.
 const maxBody = 4 << 20
 
+const contentEvents = "text/event-stream"
+
 // callersHandler serves callers: the conventions of inference servers, and
 // routes to plain services for all other paths.
 func (e *Entry) callersHandler() http.Handler {
@@ -87,7 +89,7 @@
 	failure := asFailure(err)
 	bhlog.Trace(e.logger, "request.failed", "id", requestID(c), "code", int(failure.Code), "ran", failure.Ran, "err", err)
 	if c.Response().Committed {
-		panic(http.ErrAbortHandler)
+		e.breakOff(c, failure)
 	}
 	if failure.RetryAfter > 0 {
 		seconds := int(math.Ceil(failure.RetryAfter.Seconds()))
@@ -98,6 +100,22 @@
 	}
 }
 
+// breakOff ends an answer that has begun and can't be finished. A stream of
+// events tells the error first. The connection is cut in any case, so that the
+// answer can't be taken for whole.
+func (e *Entry) breakOff(c echo.Context, failure *bhcode.Error) {
+	if c.Response().Header().Get("Content-Type") == contentEvents {
+		event, err := bhchat.Event(newErrorBody(failure))
+		if err == nil {
+			_, err = c.Response().Write(event)
+		}
+		if err == nil {
+			c.Response().Flush()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
 func asFailure(err error) *bhcode.Error {
 	var routing *echo.HTTPError
 	if errors.As(err, &routing) {
--- a/bhentry/chatanswer.go
+++ b/bhentry/chatanswer.go
@@ -126,7 +126,7 @@
 func (a *chatAnswer) write(event []byte) error {
 	response := a.c.Response()
 	if !response.Committed {
-		response.Header().Set("Content-Type", "text/event-stream")
+		response.Header().Set("Content-Type", contentEvents)
 		response.Header().Set("Cache-Control", "no-cache")
 		response.WriteHeader(http.StatusOK)
 	}
--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -147,13 +151,16 @@
 	})
 }
 
-// address returns a loopback address that was free a moment ago.
+var addresses atomic.Int64
+
+// address returns an address that nobody else uses: a loopback address of this
+// process's own, and a port below those that the system gives out.
 func address(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer listener.Close()
-	return listener.Addr().String()
+	const span, ports, first = 250, 20_000, 7000
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.251", 1+pid/span%span, 1+pid%span)
+	return net.JoinHostPort(ip, strconv.FormatInt(first+addresses.Add(1)%ports, 10))
 }
 
 func push(t *testing.T, url string, config bhconf.Config) {
--- a/bhentry/path_test.go
+++ b/bhentry/path_test.go
@@ -93,8 +93,10 @@
 	bad := http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
 	good := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "good") })
 	rig := newRig(t, bad, good)
-	for range 20 {
-		status, body, err := rig.call(http.MethodGet, "/svc/x")
+	for i := range 20 {
+		// Each request is another one: the same one again would rightly be taken
+		// for the cause of the failures.
+		status, body, err := rig.call(http.MethodGet, fmt.Sprintf("/svc/x?n=%d", i))
 		require.NoError(t, err)
 		require.Equal(t, http.StatusOK, status, body)
 		require.Equal(t, "good", body)
