Don't renew loans beyond what their lender owns

Cause: after a lower rate came into force a lender went on renewing the loan it had made under the higher one: 5.9/s lent of 3.8/s owned, so an account got more than its rate for as long as it was busy. TestBound found it once in 617 traces (two hosts, a restart, then a change of limits); its usual 100 traces had passed. Ruled out: the checker's bound, which allows the higher rate for 1.7 s after the last host has left it. Before: the new test is over by 105 tokens in 20 s of paused time. After: a lender that has lent more than it owns renews nothing until it fits, at most 0.7 s; the new test passes, the trace found no longer exceeds the bound. Conclusion: the bound holds over changes of limits.

--- a/bhlimit/bound_test.go
+++ b/bhlimit/bound_test.go
@@ -88,3 +88,24 @@
 		s.held = append(s.held, s.now)
 	}
 }
+
+// A loan that was made under a higher limit must not be renewed beyond what the
+// lender owns under the lower one.
+func TestLoansShrinkWithTheLimit(t *testing.T) {
+	s := newSim(2, DefaultTerms(), map[string]Limit{"x": {Rate: 20, Burst: 15}}, 1)
+	run := func(steps int) {
+		for range steps {
+			s.advance()
+			s.request(0, "x")
+		}
+	}
+	run(1000)
+	s.limits = append(s.limits, map[string]Limit{"x": {Rate: 6, Burst: 15}})
+	s.held = append(s.held, s.now)
+	run(2000)
+	require.LessOrEqual(t, s.checks["x"].over, 1e-6)
+	for _, h := range s.hosts {
+		b := h.node.buckets["x"]
+		require.LessOrEqual(t, b.lentOut().Rate, b.own.Rate+tolerance)
+	}
+}
--- a/bhlimit/lend.go
+++ b/bhlimit/lend.go
@@ -16,7 +16,8 @@
 
 // lend answers an ask of host out of what this host owns. What it gives is
 // subtracted before the answer is sent, so a lost answer loses tokens until
-// the loan ends. Negative tokens in an ask are given back. An ask that goes on with a loan that has ended gives nothing.
+// the loan ends. Negative tokens in an ask are given back.
+// An ask that goes on with a loan that has ended gives nothing.
 func (b *bucket) lend(now time.Time, host string, ask bhwire.Grant, term time.Duration) bhwire.Grant {
 	answer := bhwire.Grant{ID: ask.ID, Seq: ask.Seq, Action: actionGive, Account: ask.Account, Left: b.tokens}
 	l := find(b.lent, host, ask.ID)
@@ -31,6 +32,11 @@
 		l = &loan{host: host, id: ask.ID}
 	}
 	b.tokens += max(0, -ask.Tokens)
+	if !fresh && b.overlent() {
+		l.seq = ask.Seq
+		b.clamp()
+		return answer
+	}
 	tokens, more := b.offer(l, ask)
 	if fresh && tokens+more.Rate+more.Burst <= tolerance {
 		return answer
@@ -71,6 +77,13 @@
 	return clip(tokens, b.tokens), more
 }
 
+// overlent reports whether more is lent than is owned, as after a change to a
+// lower limit. Loans then end and aren't renewed, until what is lent fits again.
+func (b *bucket) overlent() bool {
+	out := b.lentOut()
+	return out.Rate > b.own.Rate+tolerance || out.Burst > b.own.Burst+tolerance
+}
+
 // regain takes back a loan that its borrower returned.
 func (b *bucket) regain(host string, back bhwire.Grant) {
 	l := find(b.lent, host, back.ID)
