--- a/bhlimit/measure_test.go
+++ b/bhlimit/measure_test.go
@@ -120,15 +120,24 @@
 	{name: "entry lost, 3 entries", size: 3, load: 0.8, limit: Limit{20, 40}, count: 8, span: time.Minute, target: anyHost, fault: loseFirst, from: 30 * time.Second, most: 0.01},
 	{name: "entry lost, 20 entries", size: 20, load: 0.8, limit: Limit{20, 40}, count: 4, span: 45 * time.Second, target: anyHost, fault: loseFirst, from: 30 * time.Second, most: 0.01},
 	{name: "the one entry lost", size: 3, load: 0.8, limit: Limit{20, 40}, count: 8, span: time.Minute, target: survivor, fault: loseFirst, from: 30 * time.Second, most: 0.01},
-	{name: "table down for an hour", size: 3, load: 0.8, limit: Limit{20, 40}, count: 1, span: time.Hour + 30*time.Second, target: oneHost, fault: loseTable, from: 30 * time.Second, most: 0.001},
-	{name: "small burst, one of 20, then another", size: 20, load: 0.8, limit: Limit{2, 5}, count: 10, span: 45 * time.Second, target: oneHost, most: 0.12},
-	{name: "small burst, 20 entries", size: 20, load: 0.8, limit: Limit{2, 5}, count: 10, span: 45 * time.Second, target: anyHost, most: 0.12},
+	{name: "table down for an hour", size: 3, load: 0.8, limit: Limit{20, 40}, count: 1, span: time.Hour + 30*time.Second, target: oneHost, fault: loseTable, from: 30 * time.Second},
+	{name: "small burst, one of 20, then another", size: 20, load: 0.8, limit: Limit{2, 5}, count: 10, span: 45 * time.Second, target: oneHost, most: 0.001},
+	{name: "small burst, 20 entries", size: 20, load: 0.8, limit: Limit{2, 5}, count: 10, span: 45 * time.Second, target: anyHost, most: 0.001},
 }
 
 // TestWrongfulRefusals bounds the requests refused although their account was
 // within its limit.
-func TestWrongfulRefusals(t *testing.T) {
+func TestWrongfulRefusals(t *testing.T) { checkRefusals(t, false) }
+
+func TestWrongfulRefusalsOfSmallBursts(t *testing.T) { checkRefusals(t, true) }
+
+// checkRefusals holds each traffic to its target. Those with a small burst are
+// checked apart.
+func checkRefusals(t *testing.T, small bool) {
 	for _, tr := range traffics {
+		if strings.HasPrefix(tr.name, "small burst") != small {
+			continue
+		}
 		s := tr.run(nil, false)
 		for account, c := range s.checks {
 			require.LessOrEqual(t, c.over, 1e-6, "%s: account %s over its limit", tr.name, account)
--- a/bhqueue/simulation_test.go
+++ b/bhqueue/simulation_test.go
@@ -120,29 +120,63 @@
 	}
 }
 
-// TestOtherAccountsKeepTheirTail prints the figures of docs/design-live.md
-// with -v. With the first account the upstream is full in each run.
-func TestOtherAccountsKeepTheirTail(t *testing.T) {
-	cases := []struct {
-		load  float64
-		ratio float64
-	}{{0.5, 1.8}, {0.8, 1.2}, {0.9, 1.2}}
-	for _, c := range cases {
-		without := simulate(t, c.load, 0, Fair)
-		with := simulate(t, c.load, simExcess, Fair)
-		fifo := simulate(t, c.load, simExcess, FIFO)
-		rows := []struct {
-			name  string
-			tally *simTally
-		}{{"without", without}, {"fair", with}, {"fifo", fifo}}
-		for _, row := range rows {
-			t.Logf("load of others %.2f %-8s first token ms p50 %d p99 %d, refused %.4f, work/s %.0f",
-				c.load, row.name, row.tally.first.ValueAtQuantile(50)/1000, row.tally.first.ValueAtQuantile(99)/1000,
-				row.tally.refusals(), float64(row.tally.work)/simLength.Seconds())
+// Targets of issue 4 for the accounts beside one at five times its rate.
+const (
+	targetRatio    = 1.2
+	targetRefusals = 0.001
+)
+
+// compared holds the outcomes for the other accounts at one load of theirs.
+type compared struct {
+	without, with, fifo *simTally
+}
+
+// compare simulates a load once in each test binary, and logs the figures of
+// docs/design-live.md. With the first account the upstream is full in each run.
+func compare(t *testing.T, load float64) compared {
+	c, ok := comparisons[load]
+	if !ok {
+		c = compared{
+			without: simulate(t, load, 0, Fair),
+			with:    simulate(t, load, simExcess, Fair),
+			fifo:    simulate(t, load, simExcess, FIFO),
 		}
-		t.Logf("ratio of p99 fair %.2f fifo %.2f", with.p99()/without.p99(), fifo.p99()/without.p99())
-		require.LessOrEqual(t, with.p99(), c.ratio*without.p99(), "load %.2f", c.load)
-		require.Less(t, with.p99(), fifo.p99(), "load %.2f", c.load)
-		require.LessOrEqual(t, with.refusals(), without.refusals()+0.006, "load %.2f", c.load)
+		comparisons[load] = c
+	}
+	for name, tally := range map[string]*simTally{"without": c.without, "fair": c.with, "fifo": c.fifo} {
+		t.Logf("load of others %.2f %-8s first token ms p50 %d p99 %d, refused %.4f, work/s %.0f",
+			load, name, tally.first.ValueAtQuantile(50)/1000, tally.first.ValueAtQuantile(99)/1000,
+			tally.refusals(), float64(tally.work)/simLength.Seconds())
+	}
+	t.Logf("ratio of p99 fair %.2f fifo %.2f", c.with.p99()/c.without.p99(), c.fifo.p99()/c.without.p99())
+	return c
+}
+
+var comparisons = map[float64]compared{}
+
+func TestOtherAccountsKeepTheirTail(t *testing.T) {
+	for _, load := range []float64{0.8, 0.9} {
+		c := compare(t, load)
+		require.LessOrEqual(t, c.with.p99(), targetRatio*c.without.p99(), "load %.2f", load)
+		require.Less(t, c.with.p99(), c.fifo.p99(), "load %.2f", load)
+		require.Less(t, c.with.refusals(), c.fifo.refusals(), "load %.2f", load)
+	}
+}
+
+func TestOtherAccountsKeepTheirTailAtHalfLoad(t *testing.T) {
+	c := compare(t, 0.5)
+	require.Less(t, c.with.p99(), c.fifo.p99())
+	require.LessOrEqual(t, c.with.p99(), targetRatio*c.without.p99())
+}
+
+func TestOtherAccountsAreNotRefusedAtHalfLoad(t *testing.T) {
+	c := compare(t, 0.5)
+	require.LessOrEqual(t, c.with.refusals(), c.without.refusals()+targetRefusals)
+}
+
+func TestOtherAccountsAreNotRefusedAtHighLoad(t *testing.T) {
+	for _, load := range []float64{0.8, 0.9} {
+		c := compare(t, load)
+		require.LessOrEqual(t, c.with.refusals(), c.without.refusals()+targetRefusals, "load %.2f", load)
 	}
 }
