Run all daemons' servers and waits by one piece of code each

Cause: entry and sidecar each had their own way to listen and serve, and five packages their own wait that ends with a context. Ruled out: sharing the drains; what an entry and a sidecar finish differs. After: bhserve and bhtree.Sleep; a sidecar whose tree fails ends its sessions before it waits for them.

--- a/bhbatch/cost_test.go
+++ b/bhbatch/cost_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Load of the target: 16 million items a day in 12,000 jobs, at twice the mean.
@@ -124,7 +126,7 @@
 		if err == nil {
 			_, err = store.Create(ctx, name, CreateRequest{File: file.ID})
 		}
-		if err != nil || !sleep(ctx, time.Duration(float64(time.Second)/targetJobs/share)) {
+		if err != nil || !bhtree.Sleep(ctx, time.Duration(float64(time.Second)/targetJobs/share)) {
 			return
 		}
 	}
--- a/bhbatch/feed.go
+++ b/bhbatch/feed.go
@@ -9,6 +9,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhfair"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // feed leases chunks so that enough items are ready.
@@ -22,7 +23,7 @@
 			bhlog.Trace(r.logger, "batch.claim", "err", err)
 		}
 		if chunk == nil {
-			sleep(ctx, jitter(idleInterval))
+			bhtree.Sleep(ctx, jitter(idleInterval))
 			continue
 		}
 		r.load(ctx, chunk)
--- a/bhbatch/hold.go
+++ b/bhbatch/hold.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // join returns the part in memory, new if no lease is held in it.
@@ -112,7 +113,7 @@
 func (r *Runner) renew(ctx context.Context) error {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for sleep(ctx, renewTick) {
+	for bhtree.Sleep(ctx, renewTick) {
 		for _, part := range r.snapshot() {
 			if !r.due(part, time.Now()) {
 				continue
--- a/bhbatch/platform_test.go
+++ b/bhbatch/platform_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // fakeCounts counts operations as the platform would charge them.
@@ -61,7 +62,7 @@
 	f.mu.Lock()
 	delay := f.delay
 	f.mu.Unlock()
-	if delay > 0 && !sleep(ctx, delay) {
+	if delay > 0 && !bhtree.Sleep(ctx, delay) {
 		return bhcode.New(bhcode.PlatformUnavailable, "timeout")
 	}
 	return nil
--- a/bhbatch/runner.go
+++ b/bhbatch/runner.go
@@ -10,6 +10,7 @@
 	"github.com/baobabhaven/baobabhaven/bhfair"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Intervals of a Runner.
@@ -193,7 +194,7 @@
 			r.changed.Broadcast()
 			r.mu.Unlock()
 		}
-		sleep(ctx, jitter(hintInterval))
+		bhtree.Sleep(ctx, jitter(hintInterval))
 	}
 }
 
--- a/bhbatch/table.go
+++ b/bhbatch/table.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Retry of platform operations.
@@ -79,7 +80,7 @@
 		if err == nil || !retryable(err) {
 			return err
 		}
-		if !sleep(ctx, jitter(wait)) {
+		if !bhtree.Sleep(ctx, jitter(wait)) {
 			return err
 		}
 		wait = min(2*wait, retryLast)
@@ -96,14 +97,3 @@
 func jitter(wait time.Duration) time.Duration {
 	return wait/2 + rand.N(wait/2+1)
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -4,14 +4,12 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/pprof"
 	"sync/atomic"
 	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhadmin"
 	"github.com/baobabhaven/baobabhaven/bhbatch"
@@ -26,17 +24,12 @@
 	"github.com/baobabhaven/baobabhaven/bhonce"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhroute"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 2 * time.Minute
-	maxHeaderBytes    = 64 << 10
-)
-
 // Config configures an Entry.
 type Config struct {
 	Settings bhconf.Settings
@@ -108,17 +101,17 @@
 // closes its sessions.
 func (e *Entry) Run(ctx context.Context) error {
 	settings := e.config.Settings
-	listeners, err := listen(settings.Listen, settings.Link, settings.Admin)
+	listeners, err := bhserve.Listen(settings.Listen, settings.Link, settings.Admin)
 	if err != nil {
 		return err
 	}
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
-	e.server = newServer(serving, e.callersHandler())
+	e.server = bhserve.NewServer(serving, e.callersHandler())
 	tree := bhtree.New(bhtree.Config{Name: "entry", Logger: e.logger})
-	tree.Add("callers", serve(e.server, listeners[0]))
-	tree.Add("link", serve(newServer(serving, http.HandlerFunc(e.accept)), listeners[1]))
-	tree.Add("admin", serve(newServer(serving, e.adminHandler()), listeners[2]))
+	tree.Add("callers", bhserve.Run(e.server, listeners[0]))
+	tree.Add("link", bhserve.Run(bhserve.NewServer(serving, http.HandlerFunc(e.accept)), listeners[1]))
+	tree.Add("admin", bhserve.Run(bhserve.NewServer(serving, e.adminHandler()), listeners[2]))
 	tree.AddRestarted("sync", e.node.Run)
 	tree.AddRestarted("running", e.running.Run)
 	tree.AddRestarted("fleet", e.fleet.run)
@@ -190,41 +183,3 @@
 		Secrets: settings.Secrets,
 	}
 }
-
-func listen(addresses ...string) ([]net.Listener, error) {
-	var listeners []net.Listener
-	for _, address := range addresses {
-		listener, err := net.Listen("tcp", address)
-		if err != nil {
-			for _, open := range listeners {
-				_ = open.Close()
-			}
-			return nil, errors.Wrap(err, "listening")
-		}
-		listeners = append(listeners, listener)
-	}
-	return listeners, nil
-}
-
-func newServer(ctx context.Context, handler http.Handler) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		BaseContext:       func(net.Listener) context.Context { return ctx },
-	}
-}
-
-func serve(server *http.Server, listener net.Listener) bhtree.Run {
-	return func(ctx context.Context) error {
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		err := server.Serve(listener)
-		if !errors.Is(err, http.ErrServerClosed) {
-			return errors.Wrap(err, "serving")
-		}
-		<-ctx.Done()
-		return nil
-	}
-}
--- a/bhmesh/mesh.go
+++ b/bhmesh/mesh.go
@@ -14,6 +14,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -75,7 +76,7 @@
 		if ctx.Err() == nil {
 			bhlog.Trace(m.config.Logger, "control.redial", "address", address, "err", err)
 		}
-		pause(ctx, redialInterval)
+		bhtree.Sleep(ctx, redialInterval)
 	}
 }
 
@@ -194,12 +195,3 @@
 	}
 	bhlog.Event(m.config.Logger, "control.end", "peer", session.Peer.Host, "incarnation", session.Peer.Incarnation)
 }
-
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -5,15 +5,12 @@
 import (
 	"context"
 	"maps"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
@@ -22,14 +19,14 @@
 	"github.com/baobabhaven/baobabhaven/bhmesh"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 const (
-	beatInterval      = 900 * time.Millisecond
-	readHeaderTimeout = 5 * time.Second
+	beatInterval = 900 * time.Millisecond
 )
 
 // Config configures a Sidecar.
@@ -89,19 +86,15 @@
 // Run serves until ctx is done, then stops gracefully: it refuses new work,
 // finishes what runs within the drain bound, and closes its sessions.
 func (s *Sidecar) Run(ctx context.Context) error {
-	link, err := net.Listen("tcp", s.config.Settings.Link)
-	if err != nil {
-		return errors.Wrap(err, "link")
-	}
-	admin, err := net.Listen("tcp", s.config.Settings.Admin)
+	listeners, err := bhserve.Listen(s.config.Settings.Link, s.config.Settings.Admin)
 	if err != nil {
-		return errors.Wrap(err, "admin")
+		return err
 	}
 	serving, stop := context.WithCancel(context.Background())
 	defer stop()
 	tree := bhtree.New(bhtree.Config{Name: "sidecar", Logger: s.logger})
-	tree.Add("link", s.serve(link, http.HandlerFunc(s.accept)))
-	tree.Add("admin", s.serve(admin, s.adminHandler()))
+	tree.Add("link", bhserve.Run(bhserve.NewServer(serving, http.HandlerFunc(s.accept)), listeners[0]))
+	tree.Add("admin", bhserve.Run(bhserve.NewServer(serving, s.adminHandler()), listeners[1]))
 	tree.AddRestarted("sync", s.node.Run)
 	tree.AddRestarted("configure", s.configure)
 	tree.AddRestarted("announce", s.announce)
@@ -115,8 +108,9 @@
 		}
 		return nil
 	})
-	bhlog.Event(s.logger, "sidecar.serving", "link", link.Addr(), "incarnation", s.config.Incarnation)
+	bhlog.Event(s.logger, "sidecar.serving", "link", listeners[0].Addr(), "incarnation", s.config.Incarnation)
 	err = tree.Run(serving)
+	stop()
 	s.accepting.Wait()
 	s.upstreams.close()
 	return err
@@ -151,23 +145,6 @@
 	closing.Wait()
 }
 
-func (s *Sidecar) serve(listener net.Listener, handler http.Handler) bhtree.Run {
-	return func(ctx context.Context) error {
-		server := &http.Server{
-			Handler:           handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			BaseContext:       func(net.Listener) context.Context { return ctx },
-		}
-		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
-		defer stop()
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrap(err, "serving")
-	}
-}
-
 func (s *Sidecar) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", s.config.Metrics.Handler())
--- a/bhstand/chat.go
+++ b/bhstand/chat.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const maxChatBody = 16 << 20
@@ -143,7 +144,7 @@
 	e.mu.Lock()
 	e.stats.Requests[Digest(c.prompt)]++
 	e.mu.Unlock()
-	if !pause(ctx, e.prefill(c.prompt+c.resume.Text)) {
+	if !bhtree.Sleep(ctx, e.prefill(c.prompt+c.resume.Text)) {
 		e.abort()
 	}
 	if crash, _ := fails(c.prompt); crash {
@@ -155,7 +156,7 @@
 		w.Header().Set("Cache-Control", "no-store")
 	}
 	for _, token := range c.tokens[c.resume.Tokens:] {
-		if !pause(ctx, e.tokenTime()) {
+		if !bhtree.Sleep(ctx, e.tokenTime()) {
 			e.abort()
 		}
 		e.mu.Lock()
--- a/bhstand/http.go
+++ b/bhstand/http.go
@@ -1,10 +1,8 @@
 package bhstand
 
 import (
-	"context"
 	"encoding/json"
 	"net/http"
-	"time"
 )
 
 // reply answers with value as JSON.
@@ -24,18 +22,3 @@
 func send(w http.ResponseWriter, data []byte) {
 	_, _ = w.Write(data)
 }
-
-// pause waits and reports whether ctx is still valid.
-func pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/bhstand/order.go
+++ b/bhstand/order.go
@@ -8,6 +8,8 @@
 	"net/url"
 
 	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Actions of an Order.
@@ -138,7 +140,7 @@
 // fetch spends the time that loading takes.
 func (e *Engine) fetch(ctx context.Context, order Order) error {
 	if e.config.Weights == "" {
-		if !pause(ctx, e.config.Loading) {
+		if !bhtree.Sleep(ctx, e.config.Loading) {
 			return errors.WithStack(ctx.Err())
 		}
 		return nil
--- a/bhstand/plain.go
+++ b/bhstand/plain.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // HeaderRequestID names a request for the counts of a Plain.
@@ -91,7 +93,7 @@
 	answer := p.run(r, string(body))
 	query := r.URL.Query()
 	delay, err := time.ParseDuration(query.Get("delay"))
-	if err == nil && !pause(r.Context(), delay) {
+	if err == nil && !bhtree.Sleep(r.Context(), delay) {
 		return
 	}
 	if query.Get("drop") != "" {
--- a/bhstand/platform.go
+++ b/bhstand/platform.go
@@ -15,6 +15,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Paths for tests, beside the protocol of the platform.
@@ -130,7 +131,7 @@
 		return
 	}
 	faults := p.Faults()
-	if !pause(r.Context(), time.Duration(faults.Slow)) {
+	if !bhtree.Sleep(r.Context(), time.Duration(faults.Slow)) {
 		return
 	}
 	object := strings.HasPrefix(r.URL.Path, bhplatform.PathObjects)
--- a/bhsync/fake_test.go
+++ b/bhsync/fake_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // fakePlatform is a table, an object store and a host list in memory with faults.
@@ -67,14 +68,14 @@
 		down = true
 	}
 	if down {
-		wait(ctx, delay)
+		bhtree.Sleep(ctx, delay)
 		return bhcode.New(bhcode.PlatformUnavailable, "down")
 	}
-	wait(ctx, delay/2)
+	bhtree.Sleep(ctx, delay/2)
 	v.mu.Lock()
 	operation()
 	v.mu.Unlock()
-	wait(ctx, delay/2)
+	bhtree.Sleep(ctx, delay/2)
 	if v.gate != nil {
 		v.gate()
 	}
--- a/bhsync/fleet_test.go
+++ b/bhsync/fleet_test.go
@@ -12,6 +12,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -132,7 +133,7 @@
 					group.Go(func() { h.dial(ctx, node, other) })
 				}
 			}
-			wait(ctx, redialDelay)
+			bhtree.Sleep(ctx, redialDelay)
 		}
 		group.Wait()
 	}(h.node, h.done)
@@ -228,7 +229,7 @@
 		if up != nil && h.reaches(entry) && entry.reaches(h) {
 			session(ctx, up, h, entry, node, other)
 		}
-		wait(ctx, redialDelay)
+		bhtree.Sleep(ctx, redialDelay)
 	}
 }
 
@@ -290,7 +291,7 @@
 		case <-ctx.Done():
 			return
 		case data := <-p.frames:
-			wait(ctx, linkDelay)
+			bhtree.Sleep(ctx, linkDelay)
 			to.gate()
 			if !p.from.reaches(to) || !to.reaches(p.from) || ctx.Err() != nil {
 				return
--- a/bhsync/poll.go
+++ b/bhsync/poll.go
@@ -8,6 +8,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 // Recording of revocations that came from peers or in an outage.
@@ -40,7 +41,7 @@
 		if !n.config.Entry {
 			interval = sidecarPollInterval
 		}
-		wait(ctx, interval*3/4+rand.N(interval/2))
+		bhtree.Sleep(ctx, interval*3/4+rand.N(interval/2))
 	}
 	return nil
 }
@@ -171,7 +172,7 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		wait(ctx, recordWait+rand.N(recordWait))
+		bhtree.Sleep(ctx, recordWait+rand.N(recordWait))
 		if pending := n.Pending(); len(pending) > 0 {
 			n.record(ctx, pending[:min(len(pending), recordSize)], "")
 		}
@@ -208,7 +209,7 @@
 		row := revokedRow{Digests: digests, Author: author, Time: time.Now().UTC()}
 		err := n.archive.revoke(ctx, number, row)
 		if err != nil && !bhcode.Is(err, bhcode.PlatformConflict) {
-			wait(ctx, recordInterval)
+			bhtree.Sleep(ctx, recordInterval)
 		}
 	}
 	return n.allDurable(digests)
@@ -224,12 +225,3 @@
 	}
 	return true
 }
-
-func wait(ctx context.Context, span time.Duration) {
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/bhsync/revoke.go
+++ b/bhsync/revoke.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -35,7 +36,7 @@
 	limit := time.Now().Add(revokeTimeout)
 	result := n.confirmed(count)
 	for len(result.Waiting) > 0 && time.Now().Before(limit) && ctx.Err() == nil {
-		wait(ctx, revokeInterval)
+		bhtree.Sleep(ctx, revokeInterval)
 		result = n.confirmed(count)
 	}
 	result.Durable = <-durable
--- a/bhtree/tree.go
+++ b/bhtree/tree.go
@@ -88,7 +88,7 @@
 			return errors.Wrapf(err, "%s ended %d times within %s", name, len(recent), restartWindow)
 		}
 		bhlog.Problem(t.logger, "child.restart", err, "child", name, "backoff", backoff)
-		if !sleep(ctx, backoff) {
+		if !Sleep(ctx, backoff) {
 			return nil
 		}
 		backoff = min(2*backoff, restartBackoffMax)
@@ -103,7 +103,8 @@
 	return times
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
+// Sleep waits for the given time. It reports false if ctx was done first.
+func Sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
