Keep an entry ready while the membership of the limits changes or a sidecar is lost

Read beside it: /readyz asked that every upstream be reached, so one lost sidecar would have taken all entries out. Ruled out: the load's balancer (sending anywhere when nobody is ready is what a balancer does). After: readiness for the limits lasts 10 s past the last time they were held; the upstreams count until all were reached once, at most 10 s; /coverz answers the stricter question, and tests wait for it.

--- a/bhcmd/dev.go
+++ b/bhcmd/dev.go
@@ -221,7 +221,7 @@
 		if settings.Role != bhconf.RoleEntry {
 			continue
 		}
-		if !statusOK(ctx, "http://"+settings.Listen+"/public") || !statusOK(ctx, "http://"+settings.Admin+"/readyz") {
+		if !statusOK(ctx, "http://"+settings.Listen+"/public") || !statusOK(ctx, "http://"+settings.Admin+"/readyz") || !statusOK(ctx, "http://"+settings.Admin+"/coverz") {
 			return false
 		}
 	}
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -42,29 +42,30 @@
 
 // Entry is the daemon.
 type Entry struct {
-	config   Config
-	logger   bhlog.Logger
-	mesh     *bhmesh.Mesh
-	store    *bhsync.Store
-	running  *bhsync.Running
-	node     *bhsync.Node
-	fleet    *fleet
-	budgets  *bhroute.Budgets
-	suspects *suspects
-	limiter  *bhlimit.Limiter
-	guard    *bhkey.Guard
-	once     *bhonce.Keeper
-	batches  *bhbatch.Handler
-	metrics  requestMetrics
-	inflight bhdrain.Inflight
-	leaving  atomic.Bool
-	server   *http.Server
+	config    Config
+	logger    bhlog.Logger
+	mesh      *bhmesh.Mesh
+	store     *bhsync.Store
+	running   *bhsync.Running
+	node      *bhsync.Node
+	fleet     *fleet
+	budgets   *bhroute.Budgets
+	suspects  *suspects
+	limiter   *bhlimit.Limiter
+	guard     *bhkey.Guard
+	once      *bhonce.Keeper
+	batches   *bhbatch.Handler
+	metrics   requestMetrics
+	inflight  bhdrain.Inflight
+	readiness readiness
+	leaving   atomic.Bool
+	server    *http.Server
 }
 
 // New returns an entry that isn't running yet.
 func New(config Config) *Entry {
 	logger := bhlog.With(config.Logger, "role", "entry", "host", config.Settings.Host)
-	e := &Entry{config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope)}
+	e := &Entry{readiness: readiness{begun: time.Now()}, config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope)}
 	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
 	e.store = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	e.running = bhsync.NewRunning(e.store)
@@ -148,11 +149,8 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
 	})
-	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		if e.leaving.Load() || !e.fleet.covers(e.store.Current()) || !e.store.Trusted(time.Now()) || !e.limiter.Ready() {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
-	})
+	mux.HandleFunc("/readyz", e.serveReady)
+	mux.HandleFunc("/coverz", e.serveCover)
 	return mux
 }
 
--- a/bhlimit/limiter.go
+++ b/bhlimit/limiter.go
@@ -23,6 +23,8 @@
 
 	// joinTime is how long a new host may take to become a member.
 	joinTime = 10 * time.Second
+	// readyGrace is how long a host that was ready is still taken for ready.
+	readyGrace = 10 * time.Second
 
 	outboxSize = 4096
 )
@@ -60,7 +62,9 @@
 	proposals chan proposal
 	started   time.Time
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// ready is when the host was last seen to be ready.
+	ready   time.Time
 	node    *Node
 	version int64
 	waiters map[string]*waiters
@@ -105,15 +109,17 @@
 }
 
 // Ready reports whether this host may spend tokens of its own. If it can't
-// become a member within joinTime, being able to borrow suffices.
+// become a member within joinTime, being able to borrow suffices. A host that
+// was ready stays so while the membership changes, for at most readyGrace.
 func (l *Limiter) Ready() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if l.node.Owns(now) {
+	if l.node.Owns(now) || now.Sub(l.started) > joinTime && l.node.Borrows(now) {
+		l.ready = now
 		return true
 	}
-	return now.Sub(l.started) > joinTime && l.node.Borrows(now)
+	return !l.ready.IsZero() && now.Sub(l.ready) < readyGrace
 }
 
 // Receive handles a grant or vote frame of another entry.
--- a/bhlimit/run.go
+++ b/bhlimit/run.go
@@ -149,7 +149,8 @@
 
 func (l *Limiter) noteEpoch(before int64) {
 	if now := l.node.Epoch(); now != before {
-		bhlog.Event(l.config.Logger, "limits.epoch", "epoch", now, "before", before, "member", l.node.Member())
+		bhlog.Event(l.config.Logger, "limits.epoch", "epoch", now, "before", before, "member", l.node.Member(),
+			"members", names(l.node.fence.epoch.Members), "previous", names(l.node.fence.epoch.Previous))
 	}
 }
 
