End a lone member's confirmation when it gets company

Cause: the only member of an epoch may act for 70 minutes without the table. When another joined, that confirmation was carried over and, once the change was closed, still stood in the ground's end: cut off from everything, the host went on spending while the other had taken its part. Ruled out: the closing of the epoch itself, which was in time on both hosts.

--- a/bhlimit/bound_test.go
+++ b/bhlimit/bound_test.go
@@ -109,3 +109,26 @@
 		require.LessOrEqual(t, b.lentOut().Rate, b.own.Rate+tolerance)
 	}
 }
+
+// The only member of an epoch may act for long without the table. Once it has
+// company that confirmation must not last beyond the change.
+func TestBoundAfterALoneMemberGotCompany(t *testing.T) {
+	require.NotZero(t, DefaultTerms().Blind)
+	s := newSim(3, DefaultTerms(), map[string]Limit{"x": {Rate: 20, Burst: 15}, "y": {Rate: 3, Burst: 4}}, 0x20c9a23ede)
+	s.loss = 0.05
+	for range 500 {
+		s.advance()
+	}
+	for _, fault := range []int{3, 0, 2, 2, 0, 1, 7, 5} {
+		s.fail(fault)
+		for range s.rand.IntN(300) {
+			s.advance()
+			s.flood()
+		}
+	}
+	for range 1000 {
+		s.advance()
+		s.flood()
+	}
+	require.LessOrEqual(t, s.checks["x"].over, 1e-6)
+}
--- a/bhlimit/node.go
+++ b/bhlimit/node.go
@@ -236,6 +236,8 @@
 func (n *Node) refresh(now time.Time) {
 	if n.fence.close(now) {
 		n.advance(now)
+		// A confirmation carried over from the epoch before counts no longer.
+		n.ground.stop(now)
 		n.assignAll()
 	}
 	if end := n.fence.end(); end.After(now) {
