Share the drain bound, the stop child and the codes of HTTP statuses

Cause: a last read of the whole change found three pieces twice: the bound of a graceful stop and the child that begins it in entry and sidecar, and the code for a router's HTTP status in the callers' and the operators' server. Before: two copies each. Conclusion: no change of behaviour.

--- a/bhadmin/server.go
+++ b/bhadmin/server.go
@@ -237,7 +237,7 @@
 	}
 	var web *echo.HTTPError
 	if errors.As(err, &web) {
-		err = bhcode.New(codeOf(web.Code), "%v", web.Message)
+		err = bhcode.New(bhcode.FromStatus(web.Code), "%v", web.Message)
 	}
 	failure := bhcode.From(err)
 	reply := ErrorReply{Code: int(failure.Code), Message: failure.Error()}
@@ -248,15 +248,3 @@
 	}
 	_ = c.JSON(failure.Code.Info().Status, reply)
 }
-
-func codeOf(status int) bhcode.Code {
-	switch status {
-	case http.StatusRequestEntityTooLarge:
-		return bhcode.TooLarge
-	case http.StatusNotFound:
-		return bhcode.NotFound
-	case http.StatusMethodNotAllowed:
-		return bhcode.BadMethod
-	}
-	return bhcode.BadRequest
-}
--- a/bhcode/error.go
+++ b/bhcode/error.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -77,6 +78,19 @@
 	return Wrap(err, Internal, "unexpected error").WithRan(RanUnknown)
 }
 
+// FromStatus returns the code for an HTTP status that a server's router gave.
+func FromStatus(status int) Code {
+	switch status {
+	case http.StatusNotFound:
+		return NotFound
+	case http.StatusMethodNotAllowed:
+		return BadMethod
+	case http.StatusRequestEntityTooLarge:
+		return TooLarge
+	}
+	return BadRequest
+}
+
 // Is reports whether err carries code.
 func Is(err error, code Code) bool {
 	var e *Error
--- a/bhconf/parse.go
+++ b/bhconf/parse.go
@@ -15,6 +15,14 @@
 // MaxDocument is the largest settings or configuration file in bytes.
 const MaxDocument = 8 << 20
 
+// DrainBound returns the bound of a graceful stop.
+func (s Settings) DrainBound() time.Duration {
+	if s.Drain == 0 {
+		return DefaultDrain
+	}
+	return time.Duration(s.Drain)
+}
+
 // ParseSettings reads settings and checks them. The error is Problems if the
 // document is JSON but wrong.
 func ParseSettings(data []byte) (Settings, error) {
--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -119,23 +119,11 @@
 func asFailure(err error) *bhcode.Error {
 	var routing *echo.HTTPError
 	if errors.As(err, &routing) {
-		return bhcode.New(codeOfStatus(routing.Code), "%v", routing.Message)
+		return bhcode.New(bhcode.FromStatus(routing.Code), "%v", routing.Message)
 	}
 	return bhcode.From(err)
 }
 
-func codeOfStatus(status int) bhcode.Code {
-	switch status {
-	case http.StatusNotFound:
-		return bhcode.NotFound
-	case http.StatusMethodNotAllowed:
-		return bhcode.BadMethod
-	case http.StatusRequestEntityTooLarge:
-		return bhcode.TooLarge
-	}
-	return bhcode.BadRequest
-}
-
 // readBody reads a live request's body within the size limit.
 func readBody(c echo.Context) ([]byte, error) {
 	reader := http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
--- a/bhentry/drain.go
+++ b/bhentry/drain.go
@@ -24,10 +24,7 @@
 func (e *Entry) drain() {
 	e.leaving.Store(true)
 	bhlog.Event(e.logger, "entry.leaving", "inflight", e.inflight.Count())
-	bound := time.Duration(e.config.Settings.Drain)
-	if bound == 0 {
-		bound = bhconf.DefaultDrain
-	}
+	bound := e.config.Settings.DrainBound()
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	defer cancel()
 	leave := time.NewTimer(bound / leaveShare)
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -121,15 +121,10 @@
 	tree.AddRestarted("trials", e.suspects.run)
 	tree.AddRestarted("watch", e.fleet.watch)
 	tree.AddRestarted("announce", e.announce)
-	tree.Add("drain", func(inner context.Context) error {
-		select {
-		case <-ctx.Done():
-			e.drain()
-			stop()
-		case <-inner.Done():
-		}
-		return nil
-	})
+	tree.Add("drain", bhtree.Stop(ctx, func() {
+		e.drain()
+		stop()
+	}))
 	bhlog.Event(e.logger, "entry.serving", "listen", listeners[0].Addr(), "incarnation", e.config.Incarnation)
 	return tree.Run(serving)
 }
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -99,15 +99,10 @@
 	tree.AddRestarted("configure", s.configure)
 	tree.AddRestarted("announce", s.announce)
 	tree.AddRestarted("batch", s.batch)
-	tree.Add("drain", func(inner context.Context) error {
-		select {
-		case <-ctx.Done():
-			s.drain()
-			stop()
-		case <-inner.Done():
-		}
-		return nil
-	})
+	tree.Add("drain", bhtree.Stop(ctx, func() {
+		s.drain()
+		stop()
+	}))
 	bhlog.Event(s.logger, "sidecar.serving", "link", listeners[0].Addr(), "incarnation", s.config.Incarnation)
 	err = tree.Run(serving)
 	stop()
@@ -122,11 +117,7 @@
 	s.leaving.Store(true)
 	close(s.left)
 	bhlog.Event(s.logger, "sidecar.leaving")
-	bound := time.Duration(s.config.Settings.Drain)
-	if bound == 0 {
-		bound = bhconf.DefaultDrain
-	}
-	waiting, cancel := context.WithTimeout(context.Background(), bound)
+	waiting, cancel := context.WithTimeout(context.Background(), s.config.Settings.DrainBound())
 	defer cancel()
 	whole := s.streams.Wait(waiting)
 	s.closeSessions()
--- a/bhtree/tree.go
+++ b/bhtree/tree.go
@@ -103,6 +103,19 @@
 	return times
 }
 
+// Stop returns a child that calls stop once ctx is done, unless the tree ends
+// first.
+func Stop(ctx context.Context, stop func()) Run {
+	return func(inner context.Context) error {
+		select {
+		case <-ctx.Done():
+			stop()
+		case <-inner.Done():
+		}
+		return nil
+	}
+}
+
 // Sleep waits for the given time. It reports false if ctx was done first.
 func Sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
