--- /dev/null
+++ b/bhcmd/gateway.go
@@ -0,0 +1,273 @@
+package bhcmd
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/pkg/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/baobabhaven/baobabhaven/bhclock"
+	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhgate"
+	"github.com/baobabhaven/baobabhaven/bhhost"
+	"github.com/baobabhaven/baobabhaven/bhjob"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhmetric"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhquota"
+	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhtree"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
+	"github.com/baobabhaven/baobabhaven/platform"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the heap may take before
+	// the collector runs more often; the rest is for stacks and socket buffers.
+	memoryShare = 0.7
+	// runnerStale is the age of the policy and of the open jobs above which no
+	// items are started; ended jobs must not start items after 3 s.
+	runnerStale = 2 * time.Second
+	// runnerStop bounds how long a stopping runner gives claims back.
+	runnerStop = 4 * time.Second
+)
+
+// HostOptions are the flags of daemons that run on the platform's hosts.
+type HostOptions struct {
+	Settings string
+	Log      string
+}
+
+// NewGateway returns the command that runs a gateway.
+func NewGateway(factory *Factory) *cli.Command {
+	return newHosted(factory, "gateway", "run a gateway, which routes requests to services by host and path",
+		(*hosted).gateway)
+}
+
+// NewRunner returns the command that runs a runner.
+func NewRunner(factory *Factory) *cli.Command {
+	return newHosted(factory, "runner", "run a runner, which runs batch items at the engine beside it",
+		(*hosted).runner)
+}
+
+func newHosted(factory *Factory, name, usage string, build func(*hosted, *bhtree.Tree)) *cli.Command {
+	var options HostOptions
+	return &cli.Command{
+		Name:  name,
+		Usage: usage,
+		Description: describe(
+			"The settings file is the platform's. It is read again at SIGHUP and when it changes; a mistaken one is logged and ignored. SIGTERM stops gracefully. Logs go to the standard output.",
+			"baobab "+name+" --settings settings.toml",
+		),
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Destination: &options.Settings},
+			&cli.StringFlag{Name: "log", Usage: "least `LEVEL` of log lines: debug, info, warn or error", Value: bhlog.Info, Destination: &options.Log},
+		},
+		Action: func(ctx context.Context, command *cli.Command) error {
+			if err := noArguments(command); err != nil {
+				return err
+			}
+			return runHosted(ctx, factory, name, options, build)
+		},
+	}
+}
+
+// hosted is a daemon on one of the platform's hosts.
+type hosted struct {
+	file    *bhhost.File
+	store   *platform.Store
+	watcher *bhwatch.Watcher
+	pool    *bhforward.Pool
+	metrics *bhmetric.Metrics
+	logger  bhlog.Logger
+	clock   bhclock.Clock
+	// holder names this process and start.
+	holder string
+}
+
+func runHosted(ctx context.Context, factory *Factory, role string, options HostOptions, build func(*hosted, *bhtree.Tree)) error {
+	file, err := bhhost.Open(options.Settings, platform.ParseSettings)
+	if err != nil {
+		return err
+	}
+	output := bhlog.NewAsyncWriter(factory.Streams.Out)
+	defer output.Close()
+	logger, err := bhlog.New(output, options.Log)
+	if err != nil {
+		return &UsageError{Message: err.Error()}
+	}
+	settings := file.Current()
+	limitResources(settings)
+	metrics, err := bhmetric.New(role, settings.Host)
+	if err != nil {
+		return err
+	}
+	defer metrics.Close()
+	h := newHost(file, metrics, logger)
+	defer h.store.Close()
+	defer h.pool.Close()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+
+	bhlog.Event(logger, "start", "role", role, "host", settings.Host, "centre", settings.Centre, "holder", h.holder, "version", Version)
+	tree := bhtree.New(bhtree.Config{Name: role, Logger: logger})
+	tree.Add("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
+	tree.AddRestarted("admin", h.admin(output))
+	build(h, tree)
+	err = tree.Run(ctx)
+	bhlog.Event(logger, "stop", "role", role, "err", err, "lines_dropped", output.Dropped())
+	return err
+}
+
+func newHost(file *bhhost.File, metrics *bhmetric.Metrics, logger bhlog.Logger) *hosted {
+	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }})
+	clock := bhclock.Boot{}
+	return &hosted{
+		file:    file,
+		store:   store,
+		metrics: metrics,
+		logger:  logger,
+		clock:   clock,
+		pool:    bhforward.NewPool(),
+		holder:  file.Current().Host + "." + strconv.FormatInt(time.Now().UnixNano(), 36),
+		watcher: bhwatch.New(bhwatch.Config{
+			Source: &platform.Source{Store: store, Logger: logger},
+			Clock:  clock,
+			Logger: logger,
+			Scope:  metrics.Scope,
+		}),
+	}
+}
+
+func limitResources(settings bhhost.Settings) {
+	if settings.Cores > 0 {
+		runtime.GOMAXPROCS(settings.Cores)
+	}
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.Memory)))
+	}
+}
+
+// gateway adds the parts of a gateway to the tree.
+func (h *hosted) gateway(tree *bhtree.Tree) {
+	limiter := bhquota.New(bhquota.Config{
+		Store:  h.store,
+		Holder: h.holder,
+		Index:  h.index,
+		Tolerance: func() bhquota.Tolerance {
+			settings := h.file.Current()
+			return bhquota.Tolerance{Window: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack}
+		},
+		Clock:  h.clock,
+		Logger: h.logger,
+		Scope:  h.metrics.Scope,
+	})
+	settings := h.file.Current()
+	gate := bhgate.New(bhgate.Config{
+		Dialect:    platform.Dialect(),
+		Calls:      platform.JobCalls{},
+		Policies:   h.watcher,
+		Quota:      limiter,
+		Jobs:       h.ledger(),
+		Board:      bhgate.NewBoard(settings.Centre, nil, h.logger),
+		Pool:       h.pool,
+		Clock:      h.clock,
+		Logger:     h.logger,
+		Scope:      h.metrics.Scope,
+		Revocation: func() time.Duration { return h.file.Current().Revocation },
+	})
+	server := bhgate.NewServer(bhgate.ServerConfig{
+		Gate:   gate,
+		Front:  settings.Front,
+		Ready:  settings.Ready,
+		Drain:  func() time.Duration { return h.file.Current().Drain },
+		Index:  h.index,
+		Logger: h.logger,
+	})
+	serving, served := context.WithCancel(context.Background())
+	tree.Add("serve", func(ctx context.Context) error {
+		defer served()
+		return server.Run(ctx)
+	})
+	// What a gateway serves with outlives its last request.
+	tree.Add("watch", outlive(serving, h.watcher.Run))
+	tree.Add("quota", outlive(serving, limiter.Run))
+}
+
+// outlive runs a child until the other context is done.
+func outlive(other context.Context, child bhtree.Run) bhtree.Run {
+	return func(context.Context) error { return child(other) }
+}
+
+func (h *hosted) index() *bhpolicy.Index { return h.watcher.View().Index }
+
+func (h *hosted) ledger() *bhjob.Ledger {
+	return bhjob.NewLedger(bhjob.LedgerConfig{Store: h.store, Objects: h.store, Logger: h.logger})
+}
+
+// runner adds the parts of a runner to the tree.
+func (h *hosted) runner(tree *bhtree.Tree) {
+	runner := bhjob.NewRunner(bhjob.RunnerConfig{
+		Holder:   h.holder,
+		Ledger:   h.ledger(),
+		Policies: h.watcher,
+		Engine:   &platform.Engine{Pool: h.pool},
+		Pool:     h.pool,
+		Dialect:  platform.Dialect(),
+		Clock:    h.clock,
+		Logger:   h.logger,
+		Scope:    h.metrics.Scope,
+		Address:  func() string { return h.file.Current().Engine },
+		Stale:    func() time.Duration { return runnerStale },
+	})
+	tree.Add("watch", h.watcher.Run)
+	tree.Add("beat", runner.Beat)
+	tree.Add("look", runner.Look)
+	tree.Add("pace", runner.Pace)
+	tree.Add("claims", func(ctx context.Context) error {
+		<-ctx.Done()
+		ctx, cancel := context.WithTimeout(context.Background(), runnerStop)
+		defer cancel()
+		return runner.Close(ctx)
+	})
+}
+
+// admin serves the metrics.
+func (h *hosted) admin(output *bhlog.AsyncWriter) bhtree.Run {
+	dropped := h.metrics.Scope.Gauge("log_lines_dropped")
+	e := echo.New()
+	e.HideBanner, e.HidePort = true, true
+	e.GET("/metrics", func(c echo.Context) error {
+		dropped.Update(float64(output.Dropped()))
+		h.metrics.Handler().ServeHTTP(c.Response(), c.Request())
+		return nil
+	})
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", h.file.Current().Admin)
+		if err != nil {
+			return errors.Wrap(err, "metrics")
+		}
+		server := bhserve.NewServer(ctx, e)
+		return ignoreClosed(bhserve.Run(server, listener)(ctx))
+	}
+}
+
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/bhjob/claim.go
@@ -0,0 +1,188 @@
+package bhjob
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
+)
+
+// Open returns all open jobs and the store's clock. Records that can't be read
+// are logged and passed over.
+func (l *Ledger) Open(ctx context.Context) ([]*Job, time.Duration, error) {
+	var jobs []*Job
+	var now time.Duration
+	for _, part := range allPartitions() {
+		page, err := bhplatform.ScanAll(ctx, l.config.Store, bhplatform.Range{Table: jobTable, Partition: part})
+		if err != nil {
+			return nil, 0, err
+		}
+		now = page.Now
+		for _, record := range page.Records {
+			job, err := decodeJob(record)
+			if err != nil {
+				bhlog.Problem(l.config.Logger, "job.invalid", err, "record", record.Key.Name)
+				continue
+			}
+			jobs = append(jobs, job)
+		}
+	}
+	return jobs, now, nil
+}
+
+// Claim claims up to most items of the job for the holder: items that wait, and
+// those whose holders are dead. It returns their ids, none if others were faster.
+func (l *Ledger) Claim(ctx context.Context, job *Job, holder string, most int, dead func(holder string) bool) (*Job, []string, error) {
+	var ids []string
+	changed, err := l.change(ctx, job, func(job *Job) ([]bhplatform.Put, bool, error) {
+		ids = ids[:0]
+		if job.Done() {
+			return nil, false, nil
+		}
+		for i := range job.Items {
+			state := &job.Items[i]
+			if len(ids) == most {
+				break
+			}
+			if state.Status == Waiting || state.Status == Claimed && state.Holder != holder && dead(state.Holder) {
+				state.Status, state.Holder = Claimed, holder
+				ids = append(ids, state.ID)
+			}
+		}
+		return nil, len(ids) > 0, nil
+	})
+	if errors.Is(err, errGone) {
+		return nil, nil, nil
+	}
+	return changed, ids, err
+}
+
+// Load returns the content of an item.
+func (l *Ledger) Load(ctx context.Context, job *Job, id string) (Item, error) {
+	var item Item
+	record, err := l.get(ctx, itemKey(itemTable, job.Account, job.ID, id))
+	if err != nil {
+		return item, err
+	}
+	if record == nil {
+		return item, errors.Errorf("item %s of job %s has no record", id, job.ID)
+	}
+	err = l.load(ctx, record.Value, &item)
+	return item, err
+}
+
+// LoadCheckpoint returns the stored output of an item so far.
+func (l *Ledger) LoadCheckpoint(ctx context.Context, job *Job, id string) (Checkpoint, error) {
+	var checkpoint Checkpoint
+	record, err := l.get(ctx, itemKey(checkpointTable, job.Account, job.ID, id))
+	if err != nil || record == nil {
+		return checkpoint, err
+	}
+	err = errors.Wrap(cbor.Unmarshal(record.Value, &checkpoint), "decoding a checkpoint")
+	return checkpoint, err
+}
+
+// mine returns the item's state if the holder still has its claim.
+func mine(job *Job, id, holder string) *ItemState {
+	state := job.item(id)
+	if state == nil || job.Ended || state.Status != Claimed || state.Holder != holder {
+		return nil
+	}
+	return state
+}
+
+// Release gives the holder's claims on items of the job back, with what their
+// runs made so far. Failed items count one failure more.
+func (l *Ledger) Release(ctx context.Context, job *Job, holder string, releases []ItemRelease) error {
+	_, err := l.change(ctx, job, func(job *Job) ([]bhplatform.Put, bool, error) {
+		var puts []bhplatform.Put
+		changed := false
+		for _, release := range releases {
+			state := mine(job, release.ID, holder)
+			if state == nil {
+				continue
+			}
+			changed = true
+			state.Status, state.Holder = Waiting, ""
+			if release.Failed {
+				state.Failures++
+			}
+			if release.Checkpoint.LastEvent == "" {
+				continue
+			}
+			value, err := encode(release.Checkpoint)
+			if err != nil {
+				return nil, false, err
+			}
+			if len(value) <= recordLimit {
+				state.Saved = true
+				puts = append(puts, bhplatform.Put{Key: itemKey(checkpointTable, job.Account, job.ID, release.ID), Value: value})
+			}
+		}
+		return puts, changed, nil
+	})
+	if errors.Is(err, errGone) {
+		return nil
+	}
+	return err
+}
+
+// ItemRelease gives one claim back.
+type ItemRelease struct {
+	ID         string
+	Checkpoint Checkpoint
+	Failed     bool
+}
+
+// List lists the result of an item that the holder claimed. It returns false if
+// the claim was lost or the job ended.
+func (l *Ledger) List(ctx context.Context, job *Job, holder string, result Result) (bool, error) {
+	listed := false
+	result, err := l.place(ctx, job, result)
+	if err != nil {
+		return false, err
+	}
+	_, err = l.change(ctx, job, func(job *Job) ([]bhplatform.Put, bool, error) {
+		state := mine(job, result.ID, holder)
+		if state == nil {
+			listed = listed || job.item(result.ID) != nil && job.item(result.ID).Status == result.Status
+			return nil, false, nil
+		}
+		value, err := encode(result)
+		if err != nil {
+			return nil, false, err
+		}
+		put := bhplatform.Put{Key: resultKey(job.Account, job.ID, job.Listed), Value: value}
+		state.Status, state.Holder = result.Status, ""
+		job.Listed++
+		listed = true
+		return []bhplatform.Put{put}, true, nil
+	})
+	if errors.Is(err, errGone) {
+		// The job finished or ended. The last change may have been this one.
+		return listed, nil
+	}
+	return listed && err == nil, err
+}
+
+// place stores a text that is too long for a record as an object.
+func (l *Ledger) place(ctx context.Context, job *Job, result Result) (Result, error) {
+	if len(result.Text) <= recordLimit {
+		return result, nil
+	}
+	value, err := encode(result)
+	if err != nil {
+		return result, err
+	}
+	// Another run of the item may differ, so the name holds the content's hash.
+	key := itemKey(resultTable, job.Account, job.ID, result.ID)
+	key.Name += "/" + contentName(value)
+	if _, err := l.divert(ctx, key, value); err != nil {
+		return result, err
+	}
+	return Result{ID: result.ID, Status: result.Status, Object: objectName(key)}, nil
+}
--- /dev/null
+++ b/bhjob/order.go
@@ -0,0 +1,21 @@
+package bhjob
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// sortByUrgency orders jobs by when they are due. Jobs that can't be in time any
+// more come last, since they are worth less and would make others late too.
+func sortByUrgency(jobs []*Job, now time.Duration) {
+	late := func(job *Job) int {
+		if job.Due < now+runTime {
+			return 1
+		}
+		return 0
+	}
+	slices.SortFunc(jobs, func(a, b *Job) int {
+		return cmp.Or(cmp.Compare(late(a), late(b)), cmp.Compare(a.Due, b.Due), cmp.Compare(a.ID, b.ID))
+	})
+}
--- /dev/null
+++ b/bhjob/pace.go
@@ -0,0 +1,170 @@
+package bhjob
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhlog"
+)
+
+const (
+	// reportInterval is how often the engine's load is read. A live request that
+	// finds all slots taken waits about that long for one.
+	reportInterval = 25 * time.Millisecond
+	reportTimeout  = 500 * time.Millisecond
+	// pauseInterval is the least time between pauses, so that the engine's
+	// report shows the effect of the last one.
+	pauseInterval = 50 * time.Millisecond
+	// calmInterval is how long after a pause nothing is started.
+	calmInterval = 150 * time.Millisecond
+	// pausedLimit is how long a paused item is kept for this engine before
+	// another one may go on with it.
+	pausedLimit = 2500 * time.Millisecond
+)
+
+// Pace follows the engine's load until ctx is done: it pauses items when live
+// requests wait, and goes on with them when there is room.
+func (r *Runner) Pace(ctx context.Context) error {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	reached := true
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		report, err := r.readReport(ctx)
+		if (err == nil) != reached && ctx.Err() == nil {
+			reached = err == nil
+			if reached {
+				bhlog.Event(r.config.Logger, "engine.regained", "address", r.config.Address())
+			} else {
+				bhlog.Problem(r.config.Logger, "engine.lost", err, "address", r.config.Address())
+			}
+		}
+		r.pace(report, err == nil)
+	}
+}
+
+func (r *Runner) readReport(ctx context.Context) (Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	return r.config.Engine.Report(ctx, r.config.Address())
+}
+
+// pace takes in one report and acts on it.
+func (r *Runner) pace(report Report, ok bool) {
+	instance, listed := r.instance()
+	fresh := r.fresh()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if listed && instance.Draining {
+		r.room = 0
+		for _, run := range r.runs {
+			run.release("the engine drains")
+		}
+		return
+	}
+	if !ok || !listed {
+		r.room = 0
+		r.releaseOld()
+		return
+	}
+	r.report = report
+	active, starting := r.count()
+	waiting := report.Waiting - starting
+	switch {
+	case waiting > 0 && active > 0:
+		r.room = 0
+		r.pauseSome(min(waiting, active), report)
+	case report.Waiting > 0 || time.Since(r.pausedAt) < calmInterval || !fresh || r.closed:
+		r.room = 0
+	default:
+		r.room = max(0, instance.Slots-max(report.Running, active))
+		r.resumeSome()
+	}
+	r.releaseOld()
+	r.metrics.update(active, len(r.runs), report)
+	if r.room > 0 {
+		select {
+		case r.want <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// count returns how many runs are at the engine, and how many of them wait for
+// their first event.
+func (r *Runner) count() (active, starting int) {
+	for _, run := range r.runs {
+		if run.phase == running {
+			active++
+			if !run.flowing {
+				starting++
+			}
+		}
+	}
+	return active, starting
+}
+
+// pauseSome stops the runs that are due last.
+func (r *Runner) pauseSome(count int, report Report) {
+	if time.Since(r.pausedAt) < pauseInterval {
+		return
+	}
+	r.pausedAt = time.Now()
+	runs := r.inPhase(running)
+	slices.Reverse(runs)
+	for _, run := range runs[:min(count, len(runs))] {
+		run.pause(report)
+	}
+}
+
+// resumeSome goes on with paused runs while there is room.
+func (r *Runner) resumeSome() {
+	for _, run := range r.inPhase(paused) {
+		if r.room == 0 {
+			return
+		}
+		if time.Now().Before(run.notBefore) {
+			continue
+		}
+		r.room--
+		run.start()
+	}
+}
+
+// releaseOld gives back runs that have been paused for long.
+func (r *Runner) releaseOld() {
+	for _, run := range r.inPhase(paused) {
+		if !run.pausedAt.IsZero() && time.Since(run.pausedAt) > pausedLimit {
+			run.release("paused for long")
+		}
+	}
+}
+
+// inPhase returns the runs in the phase, the most urgent first.
+func (r *Runner) inPhase(wanted phase) []*run {
+	var runs []*run
+	for _, run := range r.runs {
+		if run.phase == wanted {
+			runs = append(runs, run)
+		}
+	}
+	slices.SortFunc(runs, func(a, b *run) int {
+		return cmp.Or(cmp.Compare(a.job.Due, b.job.Due), cmp.Compare(a.item.ID, b.item.ID))
+	})
+	return runs
+}
+
+// Live returns how many requests other than items the engine has, running or
+// waiting, and its slots.
+func (r *Runner) Live() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	active, _ := r.count()
+	return max(0, r.report.Running+r.report.Waiting-active)
+}
