Keep one quota record an account and share a bucket's stock among gateways

Eight records held 84 accounts, so 38 gateways wrote each record for every request with little demand of its own; writes conflicted and requests timed out, and a pause of 25 ms a holder after a short round kept the next ones out. Ruled out: the accounts' rates (1.6 times the mean).

--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhclock"
@@ -16,19 +14,14 @@
 )
 
 const (
-	quotaTable = "quota"
-	// shards spread the accounts over records and partitions. The number must
-	// not change while gateways run, since each record knows its own accounts only.
-	shards = 8
-	// reserve is the share of the tolerated excess that is left unused.
-	reserve = 0.2
-
 	// takeTimeout bounds the wait for tokens. A refusal within a quarter of a
 	// latency objective of 300 ms lets the client come back in time.
 	takeTimeout = 70 * time.Millisecond
 	// minRetry and maxRetry bound when a refused request may come back.
 	minRetry = 50 * time.Millisecond
 	maxRetry = 2 * time.Second
+	// idleLimit is how long an account is followed after its last request.
+	idleLimit = time.Minute
 )
 
 // Tolerance is by how much a window may exceed rate and burst.
@@ -57,39 +50,47 @@
 	config  Config
 	refused tally.Counter
 	taken   tally.Counter
-	syncs   []*syncer
+	// added wakes Run for accounts that it doesn't follow yet.
+	added chan *syncer
+
+	mu    sync.Mutex
+	syncs map[string]*syncer
 }
 
 // New returns a limiter that holds no tokens.
 func New(config Config) *Limiter {
-	limiter := &Limiter{
+	return &Limiter{
 		config:  config,
 		refused: config.Scope.Counter("quota_refused"),
 		taken:   config.Scope.Counter("quota_taken"),
+		added:   make(chan *syncer),
+		syncs:   make(map[string]*syncer),
 	}
-	for i := range shards {
-		limiter.syncs = append(limiter.syncs, newSyncer(config, i))
-	}
-	return limiter
 }
 
 // Run keeps tokens at hand until ctx is done, then gives them back.
 func (l *Limiter) Run(ctx context.Context) error {
 	var running sync.WaitGroup
-	for _, s := range l.syncs {
-		running.Go(func() { s.run(ctx) })
+	defer running.Wait()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case s := <-l.added:
+			running.Go(func() {
+				s.run(ctx)
+				l.remove(s)
+			})
+		}
 	}
-	running.Wait()
-	return nil
 }
 
 // Take spends one token of the account. Without one at hand it waits a little
 // for more; then it returns when to come back.
 func (l *Limiter) Take(ctx context.Context, account *bhpolicy.Account) (time.Duration, bool) {
-	s := l.syncs[l.shard(account.Name)]
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	if s.take(ctx, account.Name) {
+	if s := l.syncer(ctx, account.Name); s != nil && s.take(ctx) {
 		l.taken.Inc(1)
 		return 0, true
 	}
@@ -98,14 +99,31 @@
 	return min(maxRetry, max(minRetry, wait)), false
 }
 
-func (l *Limiter) shard(account string) uint64 { return xxhash.Sum64String(account) % shards }
-
-// limitOf returns what the account may use, with a part of the tolerance.
-func limitOf(account *bhpolicy.Account, tolerance Tolerance) limit {
-	over := 1 + (1-reserve)*tolerance.Over
-	return limit{rate: account.Rate * over, capacity: account.Burst*over + (1-reserve)*tolerance.Slack}
+// syncer returns what follows the account, or nil if Run doesn't take it in time.
+func (l *Limiter) syncer(ctx context.Context, account string) *syncer {
+	l.mu.Lock()
+	s, ok := l.syncs[account]
+	if !ok {
+		s = newSyncer(l.config, account)
+		l.syncs[account] = s
+	}
+	l.mu.Unlock()
+	if ok {
+		return s
+	}
+	select {
+	case l.added <- s:
+		return s
+	case <-ctx.Done():
+		l.remove(s)
+		return nil
+	}
 }
 
-func shardKey(number int) bhplatform.Key {
-	return bhplatform.Key{Table: quotaTable, Partition: "q" + strconv.Itoa(number), Name: "buckets"}
+func (l *Limiter) remove(s *syncer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.syncs[s.account] == s {
+		delete(l.syncs, s.account)
+	}
 }
--- a/bhquota/state.go
+++ b/bhquota/state.go
@@ -12,13 +12,19 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
 )
 
 // holdLimit is how long drawn tokens may be used without renewal. A gateway
 // that can't reach the store for longer can't prove keys either.
 const holdLimit = 4 * time.Second
 
-// holding is what one gateway has drawn.
+// reserve is the share of the tolerated excess that is left unused.
+const reserve = 0.2
+
+// holding is what one gateway has drawn. Gateways that drew nothing are listed
+// too, until they lapse, so that the number of contenders is known.
 type holding struct {
 	Tokens float64 `cbor:"1,keyasint"`
 	// Until is when the tokens lapse, by the store's clock.
@@ -27,43 +33,26 @@
 	Serial uint64 `cbor:"3,keyasint"`
 }
 
-// bucket is the state of one account.
+// bucket is the record of one account.
 type bucket struct {
 	Level float64 `cbor:"1,keyasint"`
-	// At is when Level was brought up to date, by the store's clock.
+	// At is when Level was brought up to date, by the store's clock; zero in a
+	// bucket that was never written.
 	At       time.Duration      `cbor:"2,keyasint"`
 	Holdings map[string]holding `cbor:"3,keyasint"`
 }
 
-// shard is the record of some accounts.
-type shard struct {
-	Buckets map[string]*bucket `cbor:"1,keyasint"`
-}
-
-func decodeShard(value []byte) (*shard, error) {
-	state := &shard{}
+func decodeBucket(value []byte) (*bucket, error) {
+	b := &bucket{}
 	if len(value) > 0 {
-		if err := cbor.Unmarshal(value, state); err != nil {
-			return nil, errors.Wrap(err, "decoding quotas")
+		if err := cbor.Unmarshal(value, b); err != nil {
+			return nil, errors.Wrap(err, "decoding a quota")
 		}
 	}
-	if state.Buckets == nil {
-		state.Buckets = make(map[string]*bucket)
-	}
-	return state, nil
-}
-
-// bucket returns the account's bucket, a full one if there is none.
-func (s *shard) bucket(account string, limit limit, now time.Duration) *bucket {
-	b := s.Buckets[account]
-	if b == nil {
-		b = &bucket{Level: limit.capacity, At: now}
-		s.Buckets[account] = b
-	}
 	if b.Holdings == nil {
 		b.Holdings = make(map[string]holding)
 	}
-	return b
+	return b, nil
 }
 
 // limit is what an account may use.
@@ -73,6 +62,16 @@
 	capacity float64
 }
 
+// limitOf returns what the account may use, with a part of the tolerance.
+// Nothing may be used by an account that no longer exists.
+func limitOf(account *bhpolicy.Account, tolerance Tolerance) limit {
+	if account == nil {
+		return limit{}
+	}
+	over := 1 + (1-reserve)*tolerance.Over
+	return limit{rate: account.Rate * over, capacity: account.Burst*over + (1-reserve)*tolerance.Slack}
+}
+
 // advance drops lapsed holdings and adds what has accrued since.
 func (b *bucket) advance(limit limit, now time.Duration) {
 	held := 0.0
@@ -83,7 +82,10 @@
 		}
 		held += h.Tokens
 	}
-	if now > b.At {
+	switch {
+	case b.At == 0:
+		b.Level, b.At = limit.capacity, now
+	case now > b.At:
 		b.Level += limit.rate * (now - b.At).Seconds()
 		b.At = now
 	}
@@ -104,8 +106,5 @@
 	}
 	h := holding{Tokens: left, Until: until, Serial: serial}
 	b.Holdings[holder] = h
-	if left <= 0 {
-		delete(b.Holdings, holder)
-	}
 	return h
 }
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
@@ -14,37 +16,23 @@
 )
 
 const (
-	// holderPause spreads the writes of the holders of one record: each waits
-	// this long for every holder, which makes 40 writes a second of 200.
-	holderPause = 25 * time.Millisecond
-	// urgentPause is the least time between writes for requests that wait.
-	urgentPause = 40 * time.Millisecond
+	quotaTable = "quota"
+	// partitions spread the accounts, each with a record of its own.
+	partitions = 16
+	// contenderPause spreads the rounds of an empty bucket's gateways: each waits
+	// this long for every other, which makes 40 rounds a second of 200.
+	contenderPause = 25 * time.Millisecond
+	// roundPause is the least time between two rounds.
+	roundPause = 10 * time.Millisecond
 	// renewInterval is how often holdings are renewed, well within holdLimit.
-	renewInterval = time.Second
-	// supply is how long the tokens at hand last at the present demand.
-	supply = 1200 * time.Millisecond
-	// idleDemand is the demand in tokens a second below which none is kept, so
-	// that many gateways with little demand don't hold a small bucket's content.
-	idleDemand = 0.8
-	// demandMemory is the time over which demand is averaged.
-	demandMemory = 1500 * time.Millisecond
+	renewInterval = 1500 * time.Millisecond
+	// basisLimit is how old the known record may be for a write on it; an older
+	// one has mostly been changed by other gateways.
+	basisLimit = 20 * time.Millisecond
 	// syncTries bounds the compare-and-set attempts of one round.
-	syncTries = 4
+	syncTries = 5
 )
 
-// purse is what this gateway holds of one account.
-type purse struct {
-	// ledger is the holding in the store, spent what was used of it since.
-	ledger float64
-	spent  float64
-	// until is when the tokens lapse, by our clock.
-	until  time.Duration
-	demand float64
-	asked  time.Duration
-	// waiting is the number of requests that wait for a token.
-	waiting int
-}
-
 // basis is the record as this gateway last saw it.
 type basis struct {
 	value   []byte
@@ -56,65 +44,67 @@
 	valid    bool
 }
 
-// syncer exchanges tokens with one record of the store.
+// proposal is what a write would make of a purse.
+type proposal struct {
+	held  holding
+	spent float64
+	until time.Duration
+	// forgone is what the purse gave back before the write was sent.
+	forgone float64
+}
+
+// syncer exchanges the tokens of one account with the store.
 type syncer struct {
-	config Config
-	number int
+	config  Config
+	account string
+	key     bhplatform.Key
 	// low asks for a round because tokens run low, need because requests wait.
 	low  chan struct{}
 	need chan struct{}
 
-	mu     sync.Mutex
-	purses map[string]*purse
+	mu    sync.Mutex
+	purse purse
 	// changed is closed and replaced when tokens arrive.
 	changed chan struct{}
 
 	// The rest belongs to the goroutine of run.
-	basis   basis
-	serial  uint64
-	pending map[string]proposal
-	holders int
+	basis      basis
+	serial     uint64
+	pending    *proposal
+	contenders int
 	// short reports that the last round left requests without tokens.
 	short bool
 }
 
-// proposal is what a write would make of a purse.
-type proposal struct {
-	held  holding
-	spent float64
-	until time.Duration
-	// forgone is what the purse gave back before the write was sent.
-	forgone float64
-}
-
-func newSyncer(config Config, number int) *syncer {
+func newSyncer(config Config, account string) *syncer {
 	return &syncer{
 		config:  config,
-		number:  number,
+		account: account,
+		key: bhplatform.Key{
+			Table:     quotaTable,
+			Partition: "q" + strconv.FormatUint(xxhash.Sum64String(account)%partitions, 10),
+			Name:      account,
+		},
 		low:     make(chan struct{}, 1),
 		need:    make(chan struct{}, 1),
-		purses:  make(map[string]*purse),
 		changed: make(chan struct{}),
+		purse:   purse{asked: config.Clock.Now()},
 	}
 }
 
-// take spends a token of the account, waiting for one until ctx is done.
-func (s *syncer) take(ctx context.Context, account string) bool {
+// take spends a token, waiting for one until ctx is done.
+func (s *syncer) take(ctx context.Context) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.purses[account]
-	if p == nil {
-		p = &purse{}
-		s.purses[account] = p
-	}
-	now := s.config.Clock.Now()
-	p.ask(now)
+	p := &s.purse
+	p.ask(s.config.Clock.Now())
 	p.waiting++
 	defer func() { p.waiting-- }()
 	for {
-		if p.left(s.config.Clock.Now()) >= 1 {
+		now := s.config.Clock.Now()
+		if left := p.left(now); left >= 1 {
 			p.spent++
-			if p.left(now) < p.wanted()/2 {
+			if left-1 < p.wanted()/2 {
 				signal(s.low)
 			}
 			return true
@@ -145,51 +135,17 @@
 	}
 }
 
-// ask notes the demand of one request.
-func (p *purse) ask(now time.Duration) {
-	p.decay(now)
-	p.demand += 1 / demandMemory.Seconds()
-}
-
-func (p *purse) decay(now time.Duration) {
-	passed := min(demandMemory, now-p.asked)
-	p.demand *= 1 - float64(passed)/float64(demandMemory)
-	p.asked = now
-}
-
-func (p *purse) left(now time.Duration) float64 {
-	if now >= p.until {
-		return 0
-	}
-	return p.ledger - p.spent
-}
-
-// settle returns the tokens that are left, after dropping lapsed ones and those
-// beyond a limit that was lowered.
-func (p *purse) settle(now time.Duration, capacity float64) float64 {
-	if now >= p.until {
-		p.ledger, p.spent = 0, 0
-	}
-	p.ledger = min(p.ledger, p.spent+capacity)
-	return max(0, p.ledger-p.spent)
-}
-
-// wanted returns how many tokens should be at hand.
-func (p *purse) wanted() float64 {
-	wanted := float64(p.waiting)
-	if p.demand > idleDemand {
-		wanted += p.demand*supply.Seconds() + 1
-	}
-	return wanted
-}
-
+// run exchanges tokens until ctx is done or the account has been idle for long.
 func (s *syncer) run(ctx context.Context) {
 	for s.await(ctx) {
-		if s.idle() {
+		switch idle := s.idle(); {
+		case idle > idleLimit:
+			return
+		case idle > 0:
 			continue
 		}
 		if err := s.round(ctx, false); err != nil && ctx.Err() == nil {
-			bhlog.Problem(s.config.Logger, "quota.unsynced", err, "shard", s.number, "version", s.basis.version)
+			bhlog.Problem(s.config.Logger, "quota.unsynced", err, "account", s.account, "version", s.basis.version)
 		}
 	}
 	s.giveBack()
@@ -197,39 +153,22 @@
 
 // await waits until the next round is due. It reports false if ctx is done.
 func (s *syncer) await(ctx context.Context) bool {
-	pause := max(urgentPause, time.Duration(s.holders)*holderPause)
+	pause := roundPause
 	if s.short {
-		// The last round found a bucket empty; asking sooner is in vain.
-		if !sleep(ctx, pause) {
-			return false
-		}
-	} else if !s.pauseUnlessNeeded(ctx, pause) {
-		return ctx.Err() == nil
-	}
-	select {
-	case <-ctx.Done():
-		return false
-	case <-s.need:
-	case <-s.low:
-	case <-time.After(renewInterval - pause%renewInterval):
+		// The bucket is empty; asking sooner is in vain.
+		pause = min(renewInterval, max(pause, time.Duration(s.contenders)*contenderPause))
 	}
-	return true
-}
-
-// pauseUnlessNeeded waits for the pause, or until requests need tokens after
-// urgentPause. It reports whether the whole pause passed.
-func (s *syncer) pauseUnlessNeeded(ctx context.Context, pause time.Duration) bool {
-	if !sleep(ctx, urgentPause) {
+	if !sleep(ctx, pause) {
 		return false
 	}
 	select {
 	case <-ctx.Done():
 		return false
 	case <-s.need:
-		return false
-	case <-time.After(pause - urgentPause):
-		return true
+	case <-s.low:
+	case <-time.After(renewInterval):
 	}
+	return true
 }
 
 func sleep(ctx context.Context, wait time.Duration) bool {
@@ -241,25 +180,24 @@
 	}
 }
 
-// idle reports whether no account of this record is in use.
-func (s *syncer) idle() bool {
+// idle returns for how long the account hasn't been in use; zero if it is, or
+// if there are tokens to renew or to give back.
+func (s *syncer) idle() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.config.Clock.Now()
-	for _, p := range s.purses {
-		p.decay(now)
-		if p.ledger > 0 || p.waiting > 0 || p.demand > idleDemand {
-			return false
-		}
+	p := &s.purse
+	if p.left(now) > 0 || p.waiting > 0 || s.pending != nil {
+		return 0
 	}
-	return len(s.pending) == 0
+	return max(1, now-p.asked)
 }
 
 // round exchanges tokens once.
 func (s *syncer) round(ctx context.Context, leave bool) error {
 	var last error
 	for range syncTries {
-		if !s.basis.valid {
+		if !s.basis.valid || s.config.Clock.Now()-s.basis.received > basisLimit {
 			if err := s.read(ctx); err != nil {
 				return err
 			}
@@ -277,10 +215,9 @@
 }
 
 func (s *syncer) read(ctx context.Context) error {
-	key := shardKey(s.number)
 	sent := s.config.Clock.Now()
 	page, err := s.config.Store.Scan(ctx, bhplatform.Range{
-		Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00",
+		Table: s.key.Table, Partition: s.key.Partition, From: s.key.Name, To: s.key.Name + "\x00",
 	})
 	if err != nil {
 		return err
@@ -295,69 +232,50 @@
 	if len(records) > 0 {
 		s.basis.value, s.basis.version = records[0].Value, records[0].Version
 	}
-	state, err := decodeShard(s.basis.value)
+	b, err := decodeBucket(s.basis.value)
 	if err != nil {
-		bhlog.Problem(s.config.Logger, "quota.invalid", err, "shard", s.number, "version", s.basis.version)
+		bhlog.Problem(s.config.Logger, "quota.invalid", err, "account", s.account, "version", s.basis.version)
 		return
 	}
-	for account, proposed := range s.pending {
-		b := state.Buckets[account]
-		if b != nil && b.Holdings[s.config.Holder].Serial == proposed.held.Serial && proposed.held.Tokens > 0 {
-			s.confirm(account, proposed)
-		}
+	own, ok := b.Holdings[s.config.Holder]
+	if ok && s.pending != nil && own.Serial == s.pending.held.Serial {
+		s.confirm(*s.pending)
 	}
-	s.drop(state, now)
-}
-
-// drop takes over the store's view of what this gateway holds where it lapsed there.
-func (s *syncer) drop(state *shard, now time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for account, p := range s.purses {
-		b := state.Buckets[account]
-		if b == nil || b.Holdings[s.config.Holder].Serial == 0 || now >= b.Holdings[s.config.Holder].Until {
-			p.ledger, p.spent = 0, 0
-		}
+	if !ok || now >= own.Until {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.purse.ledger, s.purse.spent = 0, 0
 	}
 }
 
-// write proposes new holdings on the basis and takes them in if they are accepted.
+// write proposes a new holding on the basis and takes it in if it is accepted.
 func (s *syncer) write(ctx context.Context, leave bool) error {
-	state, err := decodeShard(s.basis.value)
+	b, err := decodeBucket(s.basis.value)
 	if err != nil {
-		state = &shard{Buckets: make(map[string]*bucket)}
+		b = &bucket{Holdings: make(map[string]holding)}
 	}
 	from := s.basis
 	// The store's clock is at least this far.
 	now := from.now + (s.config.Clock.Now() - from.received)
-	s.serial++
-	proposals := s.propose(state, now, leave)
-	value, err := cbor.Marshal(state)
+	proposed := s.propose(b, now, leave)
+	// By our clock the store reaches Until at the earliest this long after the
+	// basis was asked for.
+	proposed.until = from.sent + (proposed.held.Until - from.now)
+	s.pending = &proposed
+	value, err := cbor.Marshal(b)
 	if err != nil {
-		return errors.Wrap(err, "encoding quotas")
+		return errors.Wrap(err, "encoding a quota")
 	}
-	for account, proposed := range proposals {
-		// By our clock the store reaches Until at the earliest this long after
-		// the basis was asked for.
-		proposed.until = from.sent + (proposed.held.Until - from.now)
-		proposals[account] = proposed
-	}
-	s.pending = proposals
-	key := shardKey(s.number)
 	sent := s.config.Clock.Now()
 	receipt, err := s.config.Store.Apply(ctx, bhplatform.Transaction{
-		Conditions: []bhplatform.Condition{{Key: key, Version: from.version}},
-		Puts:       []bhplatform.Put{{Key: key, Value: value}},
+		Conditions: []bhplatform.Condition{{Key: s.key, Version: from.version}},
+		Puts:       []bhplatform.Put{{Key: s.key, Value: value}},
 	})
 	var conflict *bhplatform.ConflictError
 	switch {
 	case err == nil:
-		for account, proposed := range proposals {
-			s.confirm(account, proposed)
-		}
-		s.pending = nil
+		s.confirm(proposed)
 		s.basis = basis{value: value, version: receipt.Version, now: receipt.Now, sent: sent, received: s.config.Clock.Now(), valid: true}
-		s.announce()
 		return nil
 	case errors.As(err, &conflict):
 		s.withdraw()
@@ -370,82 +288,64 @@
 	return err
 }
 
-// propose changes the state to what this gateway wants of it.
-func (s *syncer) propose(state *shard, now time.Duration, leave bool) map[string]proposal {
-	proposals := make(map[string]proposal)
-	index, tolerance := s.config.Index(), s.config.Tolerance()
-	holders := make(map[string]bool)
-	s.short = false
+// propose changes the bucket to what this gateway wants of it.
+func (s *syncer) propose(b *bucket, now time.Duration, leave bool) proposal {
+	var bounds limit
+	if index := s.config.Index(); index != nil {
+		bounds = limitOf(index.AccountNamed(s.account), s.config.Tolerance())
+	}
+	b.advance(bounds, now)
+	s.contenders = max(1, len(b.Holdings))
+	s.serial++
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for account, p := range s.purses {
-		var bounds limit
-		if index != nil && index.AccountNamed(account) != nil {
-			bounds = limitOf(index.AccountNamed(account), tolerance)
-		}
-		b := state.bucket(account, bounds, now)
-		b.advance(bounds, now)
-		p.decay(s.config.Clock.Now())
-		wanted := p.wanted()
-		if leave {
-			wanted = 0
-		}
-		left := p.settle(s.config.Clock.Now(), bounds.capacity)
-		held := b.draw(s.config.Holder, left, wanted, now+holdLimit, s.serial)
-		// What is given back may not be used unless the write certainly failed.
-		forgone := max(0, left-held.Tokens)
-		p.ledger -= forgone
-		proposals[account] = proposal{held: held, spent: p.spent, forgone: forgone}
-		s.short = s.short || held.Tokens < float64(p.waiting)
-		for holder := range b.Holdings {
-			holders[holder] = true
-		}
+	p := &s.purse
+	p.decay(s.config.Clock.Now())
+	p.stock = stockShare * bounds.capacity / float64(s.contenders)
+	wanted := p.wanted()
+	if leave {
+		wanted = 0
+	}
+	left := p.settle(s.config.Clock.Now(), bounds.capacity)
+	held := b.draw(s.config.Holder, left, wanted, now+holdLimit, s.serial)
+	if leave {
+		delete(b.Holdings, s.config.Holder)
 	}
-	s.holders = len(holders)
-	return proposals
+	// What is given back may not be used unless the write certainly failed.
+	forgone := max(0, left-held.Tokens)
+	p.ledger -= forgone
+	s.short = held.Tokens < float64(p.waiting)
+	return proposal{held: held, spent: p.spent, forgone: forgone}
 }
 
-// confirm takes in what a write made of a purse.
-func (s *syncer) confirm(account string, proposed proposal) {
+// confirm takes in what a write made of the purse and wakes requests.
+func (s *syncer) confirm(proposed proposal) {
+	s.pending = nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	p := s.purses[account]
-	p.ledger = proposed.held.Tokens
-	p.spent -= proposed.spent
-	p.until = proposed.until
+	s.purse.ledger = proposed.held.Tokens
+	s.purse.spent -= proposed.spent
+	s.purse.until = proposed.until
+	close(s.changed)
+	s.changed = make(chan struct{})
 }
 
 // withdraw forgets a write that certainly failed.
 func (s *syncer) withdraw() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for account, proposed := range s.pending {
-		s.purses[account].ledger += proposed.forgone
-	}
+	s.purse.ledger += s.pending.forgone
 	s.pending = nil
 }
 
-// announce wakes the requests that wait for tokens.
-func (s *syncer) announce() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
 // giveBack returns all tokens when the gateway stops.
 func (s *syncer) giveBack() {
-	s.mu.Lock()
-	for _, p := range s.purses {
-		p.demand, p.waiting = 0, 0
+	if s.idle() > 0 {
+		return
 	}
-	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), renewInterval)
 	defer cancel()
-	if s.idle() {
-		return
-	}
 	if err := s.round(ctx, true); err != nil {
-		bhlog.Problem(s.config.Logger, "quota.kept", err, "shard", s.number)
+		bhlog.Problem(s.config.Logger, "quota.kept", err, "account", s.account)
 	}
 }
