--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -66,7 +66,7 @@
 		again, err := c.try(ctx, instance)
 		c.gate.config.Board.Done(instance.ID)
 		if !again {
-			return err
+			return c.conclude(ctx, err)
 		}
 		if bhcode.From(err).Ran == bhcode.RanNo {
 			dials++
@@ -79,6 +79,14 @@
 	return c.giveUp(ctx, last, bhcode.New(bhcode.NoUpstream, "service %q has no upstream left", service).WithRetryAfter(emptyRetry))
 }
 
+// conclude returns the end of an attempt that nothing may follow.
+func (c *call) conclude(ctx context.Context, err error) error {
+	if err == nil || errors.Is(err, errClientGone) {
+		return err
+	}
+	return c.giveUp(ctx, err, err)
+}
+
 // worse returns the error that says more about what may have run.
 func worse(last, err error) error {
 	if last != nil && bhcode.From(last).Ran != bhcode.RanNo {
