Add a soak of the real programs with faults from outside

Gateways and runners run as processes against a store and engines of the test; loopback proxies delay, reset, silence and half-silence connections, processes are killed, stopped, frozen and restarted, the store refuses, loses and delays, keys are rotated and engines drained, all overlapping. Checked: runs at most once, true promises, whole and own answers, tenants and keys, revocations, ended jobs, quotas, each item once and whole, recovery, and processes that end by themselves.

--- a/bhstand/store.go
+++ b/bhstand/store.go
@@ -188,6 +188,12 @@
 	return nil
 }
 
+// Force sets a record whatever faults are configured, as others than the fleet do.
+func (s *Store) Force(key bhplatform.Key, value []byte) error {
+	_, err := s.apply(bhplatform.Transaction{Puts: []bhplatform.Put{{Key: key, Value: value}}})
+	return err
+}
+
 // Records returns a copy of a table's records, by name.
 func (s *Store) Records(table string) map[string][]byte {
 	s.mu.Lock()
--- /dev/null
+++ b/soak/engine_test.go
@@ -0,0 +1,164 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	engineSlots = 4
+	engineQueue = 8
+	eventGap    = 8 * time.Millisecond
+	liveEvents  = 10
+	itemEvents  = 60
+	plainTime   = 15 * time.Millisecond
+)
+
+// engine is an upstream that admits requests in order of arrival.
+type engine struct {
+	id      string
+	address string
+	proxy   *proxy
+	record  *recorder
+	slots   chan struct{}
+
+	mu      sync.Mutex
+	running int
+	waiting int
+}
+
+func newEngine(t *testing.T, id string, record *recorder) *engine {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &engine{id: id, record: record, slots: make(chan struct{}, engineSlots)}
+	e.proxy = newProxy(t, listener.Addr().String())
+	e.address = e.proxy.address()
+	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	return e
+}
+
+// ServeHTTP implements http.Handler.
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if r.URL.Path == "/report" {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(map[string]int{"running": e.running, "waiting": e.waiting})
+		return
+	}
+	id := r.Header.Get("X-Request-Id")
+	w.Header().Set("X-Request-Id", id)
+	if want := r.Header.Get("X-Target-Instance"); want != e.id {
+		w.Header().Set("X-Instance-Id", e.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if !e.admit(r) {
+		w.Header().Set("X-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	defer e.release()
+	e.record.ran(id, e.id, r, string(body))
+	w.Header().Set("X-Response-Signature", signature(id))
+	e.answer(w, r, id, string(body))
+}
+
+func (e *engine) answer(w http.ResponseWriter, r *http.Request, id, body string) {
+	switch {
+	case strings.HasPrefix(body, "poison"):
+		w.WriteHeader(http.StatusUnprocessableEntity)
+	case strings.HasPrefix(body, "fail"):
+		w.WriteHeader(http.StatusInternalServerError)
+	case strings.HasPrefix(r.URL.Path, "/safe/"), strings.HasPrefix(r.URL.Path, "/unsafe/"):
+		time.Sleep(plainTime)
+		fmt.Fprint(w, plainAnswer(id))
+	case strings.HasPrefix(r.URL.Path, "/jobs/"):
+		stream(w, r, id, itemEvents)
+	default:
+		stream(w, r, id, liveEvents)
+	}
+}
+
+func stream(w http.ResponseWriter, r *http.Request, id string, events int) {
+	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	if err != nil {
+		after = 0
+	}
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := after + 1; i <= events; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(eventGap):
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s:%d\n\n", i, id, i)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+// admit waits for a slot. It reports false if the queue is full or the caller left.
+func (e *engine) admit(r *http.Request) bool {
+	e.mu.Lock()
+	if e.waiting >= engineQueue {
+		e.mu.Unlock()
+		return false
+	}
+	e.waiting++
+	e.mu.Unlock()
+	admitted := false
+	select {
+	case e.slots <- struct{}{}:
+		admitted = true
+	case <-r.Context().Done():
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.waiting--
+	if admitted {
+		e.running++
+	}
+	return admitted
+}
+
+func (e *engine) release() {
+	<-e.slots
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.running--
+}
+
+func signature(id string) string { return "signed-" + id }
+
+func plainAnswer(id string) string { return strings.Repeat(id+" ", 20) }
+
+func wholeStream(id string, events int) string {
+	var text strings.Builder
+	for i := range events {
+		fmt.Fprintf(&text, "id: %d\ndata: %s:%d\n\n", i+1, id, i+1)
+	}
+	return text.String()
+}
+
+func wholeText(id string, events int) string {
+	var lines []string
+	for i := range events {
+		lines = append(lines, fmt.Sprintf("%s:%d", id, i+1))
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/soak/process_test.go
@@ -0,0 +1,174 @@
+package soak
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	drainTime = 4 * time.Second
+	// stopLimit is above drainTime; a process that outlives it hangs.
+	stopLimit = drainTime + 3*time.Second
+)
+
+// process is one of the real programs, with a proxy of its own to the store.
+type process struct {
+	role     string
+	name     string
+	front    string
+	settings string
+	store    *proxy
+	log      *os.File
+
+	mu      sync.Mutex
+	command *exec.Cmd
+	ended   chan struct{}
+	// expected reports that the soak has asked for the end.
+	expected bool
+}
+
+// freePorts returns ports of the loopback that nobody listens on now.
+func freePorts(t *testing.T, count int) []int {
+	t.Helper()
+	var ports []int
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		defer listener.Close()
+		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	}
+	return ports
+}
+
+func newProcess(t *testing.T, role, name, storeAddress, app string) *process {
+	ports := freePorts(t, 4)
+	p := &process{
+		role:     role,
+		name:     name,
+		front:    fmt.Sprintf("127.0.0.1:%d", ports[0]),
+		settings: filepath.Join(t.TempDir(), "settings.toml"),
+		store:    newProxy(t, storeAddress),
+	}
+	text := fmt.Sprintf(`node = %q
+ip = "127.0.0.1"
+zone = "z"
+app = %q
+internalPorts = [%d,%d]
+[listen]
+front = %q
+readiness = "127.0.0.1:%d"
+[bounds]
+graceS = %g
+configPropagationMs = 2000
+revocationMs = %d
+quotaWindowS = %g
+quotaOver = %g
+quotaSlack = %d
+cancelMs = %d
+statusS = 120
+[platform]
+address = %q
+`, name, app, ports[2], ports[3], p.front, ports[1], drainTime.Seconds(), revocation.Milliseconds(),
+		quotaWindow.Seconds(), quotaOver, int(quotaSlack), cancelBound.Milliseconds(), p.store.address())
+	require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
+	log, err := os.Create(filepath.Join(logDir(t), name+".log"))
+	require.NoError(t, err)
+	p.log = log
+	p.start(t)
+	t.Cleanup(func() {
+		p.kill()
+		log.Close()
+	})
+	return p
+}
+
+// logDir keeps the processes' logs if BAOBAB_SOAK_LOGS names a directory.
+func logDir(t *testing.T) string {
+	if dir := os.Getenv("BAOBAB_SOAK_LOGS"); dir != "" {
+		dir = filepath.Join(dir, filepath.Base(t.Name()))
+		require.NoError(t, os.MkdirAll(dir, 0o755))
+		return dir
+	}
+	return t.TempDir()
+}
+
+func (p *process) start(t *testing.T) {
+	command := exec.Command(program, p.role)
+	command.Env = append(os.Environ(), "BAOBABHAVEN_BOOT="+p.settings)
+	command.Stdout, command.Stderr = p.log, p.log
+	require.NoError(t, command.Start())
+	ended := make(chan struct{})
+	p.mu.Lock()
+	p.command, p.ended, p.expected = command, ended, false
+	p.mu.Unlock()
+	go func() {
+		_ = command.Wait()
+		close(ended)
+	}()
+}
+
+func (p *process) signal(signal syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if signal == syscall.SIGTERM || signal == syscall.SIGKILL {
+		p.expected = true
+	}
+	// A process that has ended already is noticed by surprise.
+	_ = p.command.Process.Signal(signal)
+}
+
+// kill ends the process at once and waits for that.
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	<-ended
+}
+
+// stop ends the process gracefully. It reports false if it doesn't end in time.
+func (p *process) stop() bool {
+	p.signal(syscall.SIGTERM)
+	p.mu.Lock()
+	ended := p.ended
+	p.mu.Unlock()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(stopLimit):
+		return false
+	}
+}
+
+// surprise reports whether the process has ended by itself.
+func (p *process) surprise() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	select {
+	case <-p.ended:
+		return !p.expected
+	default:
+		return false
+	}
+}
+
+// tail returns the last lines of the process's log.
+func (p *process) tail() string {
+	data, err := os.ReadFile(p.log.Name())
+	if err != nil {
+		return err.Error()
+	}
+	lines := bytes.Split(data, []byte("\n"))
+	return string(bytes.Join(lines[max(0, len(lines)-15):], []byte("\n")))
+}
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,163 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// proxyMode is what a proxy does with bytes.
+type proxyMode int
+
+const (
+	pass proxyMode = iota
+	// delay holds each piece back for a while.
+	delay
+	// refuse resets new and open connections.
+	refuse
+	// silence takes bytes in both directions and passes none on.
+	silence
+	// deaf passes requests on and drops what comes back.
+	deaf
+	proxyModes
+)
+
+const (
+	proxyDelay  = 120 * time.Millisecond
+	proxyBuffer = 16 << 10
+)
+
+// proxy is a loopback proxy that misbehaves on demand.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu    sync.Mutex
+	mode  proxyMode
+	conns map[net.Conn]bool
+}
+
+func newProxy(t *testing.T, target string) *proxy {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
+	go p.run()
+	t.Cleanup(func() {
+		listener.Close()
+		p.reset()
+	})
+	return p
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) set(mode proxyMode) {
+	p.mu.Lock()
+	p.mode = mode
+	p.mu.Unlock()
+	if mode == refuse {
+		p.reset()
+	}
+}
+
+func (p *proxy) current() proxyMode {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.mode
+}
+
+// reset resets all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for conn := range p.conns {
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		conn.Close()
+	}
+}
+
+func (p *proxy) run() {
+	for {
+		conn, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(conn)
+	}
+}
+
+func (p *proxy) serve(near net.Conn) {
+	p.enter(near)
+	defer p.leave(near)
+	if p.current() == refuse {
+		_ = near.(*net.TCPConn).SetLinger(0)
+		return
+	}
+	far, err := net.Dial("tcp", p.target)
+	if err != nil {
+		return
+	}
+	p.enter(far)
+	defer p.leave(far)
+	back := make(chan struct{})
+	go func() {
+		defer close(back)
+		p.pipe(near, far, true)
+		near.Close()
+	}()
+	p.pipe(far, near, false)
+	far.Close()
+	<-back
+}
+
+// pipe passes bytes on. A connection that fell silent stays so for good.
+func (p *proxy) pipe(to, from net.Conn, answers bool) {
+	buffer := make([]byte, proxyBuffer)
+	silenced := false
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			if err != io.EOF {
+				if tcp, ok := to.(*net.TCPConn); ok {
+					_ = tcp.SetLinger(0)
+				}
+			}
+			return
+		}
+		switch p.current() {
+		case delay:
+			time.Sleep(proxyDelay)
+		case silence:
+			silenced = true
+		case deaf:
+			silenced = silenced || answers
+		case refuse:
+			return
+		}
+		if silenced {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+func (p *proxy) enter(conn net.Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.conns[conn] = true
+}
+
+func (p *proxy) leave(conn net.Conn) {
+	conn.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, conn)
+}
--- /dev/null
+++ b/soak/recorder_test.go
@@ -0,0 +1,159 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Bounds of the platform's settings that the checks use.
+const (
+	revocation  = 5 * time.Second
+	cancelBound = 3 * time.Second
+	quotaWindow = 5 * time.Second
+	quotaOver   = 0.1
+	quotaSlack  = 20
+)
+
+// run is one run of a request at an engine.
+type run struct {
+	at     time.Time
+	engine string
+	tenant string
+}
+
+// attempt is one request as its client saw it.
+type attempt struct {
+	sent   time.Time
+	tenant string
+	key    string
+	path   string
+	body   string
+	// once reports that the request may run once at most.
+	once bool
+	// promised reports an answer that says that it never runs.
+	promised bool
+}
+
+// recorder holds what clients and engines saw, and the rules that were broken.
+type recorder struct {
+	mu       sync.Mutex
+	attempts map[string]*attempt
+	runs     map[string][]run
+	revoked  map[string]time.Time
+	ended    map[string]time.Time
+	faults   []string
+	served   int
+	total    int
+}
+
+func newRecorder() *recorder {
+	return &recorder{
+		attempts: make(map[string]*attempt), runs: make(map[string][]run),
+		revoked: make(map[string]time.Time), ended: make(map[string]time.Time),
+	}
+}
+
+// broken notes a broken rule.
+func (r *recorder) broken(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.faults = append(r.faults, fmt.Sprintf(format, args...))
+}
+
+func (r *recorder) sent(id string, a *attempt) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[id] = a
+	r.total++
+}
+
+// ran notes that an engine runs a request, and checks it against what was sent.
+func (r *recorder) ran(id, engine string, request *http.Request, body string) {
+	now := time.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	complain := func(format string, args ...any) {
+		r.faults = append(r.faults, fmt.Sprintf("request %s at %s: ", id, engine)+fmt.Sprintf(format, args...))
+	}
+	a := r.attempts[id]
+	if a == nil {
+		complain("no client sent it")
+		return
+	}
+	r.runs[id] = append(r.runs[id], run{at: now, engine: engine, tenant: request.Header.Get("X-Tenant")})
+	if request.Header.Get("Authorization") != "" {
+		complain("the key was passed on")
+	}
+	if got := request.Header.Get("X-Tenant"); got != a.tenant {
+		complain("tenant %q instead of %q", got, a.tenant)
+	}
+	if request.RequestURI != a.path || body != a.body {
+		complain("path %q and body %q instead of %q and %q", request.RequestURI, body, a.path, a.body)
+	}
+	if at, ok := r.revoked[a.key]; ok && a.key != "" && a.sent.Sub(at) > revocation {
+		complain("sent %s after its key was revoked", a.sent.Sub(at))
+	}
+	if at, ok := r.ended[jobOf(id)]; ok && now.Sub(at) > cancelBound {
+		complain("reached an engine %s after the end of its job", now.Sub(at))
+	}
+}
+
+// jobOf returns the job of an item's id, or an empty string.
+func jobOf(id string) string {
+	job, _, ok := strings.Cut(id, ".")
+	if !ok {
+		return ""
+	}
+	return job
+}
+
+// finish checks what holds for the whole run, and returns all broken rules.
+func (r *recorder) finish(rates map[string]float64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, a := range r.attempts {
+		runs := r.runs[id]
+		if a.once && len(runs) > 1 {
+			r.faults = append(r.faults, fmt.Sprintf("request %s ran %d times: %+v", id, len(runs), runs))
+		}
+		if a.promised && len(runs) > 0 {
+			r.faults = append(r.faults, fmt.Sprintf("request %s ran though its answer said it never would: %+v", id, runs))
+		}
+	}
+	for tenant, rate := range rates {
+		most, bound := r.busiest(tenant), (rate*quotaWindow.Seconds()+rate)*(1+quotaOver)+quotaSlack
+		if float64(most) > bound {
+			r.faults = append(r.faults, fmt.Sprintf("tenant %s: %d requests in %s, bound %.0f", tenant, most, quotaWindow, bound))
+		}
+	}
+	return r.faults
+}
+
+// busiest returns the most requests of a tenant that were sent and ran within
+// one window. Items of jobs don't count.
+func (r *recorder) busiest(tenant string) int {
+	type span struct{ sent, ran time.Time }
+	var spans []span
+	for id, runs := range r.runs {
+		a := r.attempts[id]
+		if a.tenant == tenant && jobOf(id) == "" {
+			spans = append(spans, span{a.sent, runs[0].at})
+		}
+	}
+	sort.Slice(spans, func(i, j int) bool { return spans[i].ran.Before(spans[j].ran) })
+	most := 0
+	for i, last := range spans {
+		count := 0
+		for j := i; j >= 0 && last.ran.Sub(spans[j].ran) <= quotaWindow; j-- {
+			if last.ran.Sub(spans[j].sent) <= quotaWindow {
+				count++
+			}
+		}
+		most = max(most, count)
+	}
+	return most
+}
--- /dev/null
+++ b/soak/soak_test.go
@@ -0,0 +1,357 @@
+// Package soak runs the real programs as processes on one machine, breaks their
+// connections, signals them and troubles their store at random, and checks what
+// clients and engines see.
+//
+//	go test ./soak                              a short run with fixed seeds
+//	BAOBAB_SOAK=50 go test -timeout 60m ./soak  fifty fresh seeds
+//	BAOBAB_SOAK_SEED=7 go test ./soak           one seed again
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhstand"
+)
+
+const (
+	gateways = 3
+	engines  = 3
+	// lead is the time for the processes to start.
+	lead = 2 * time.Second
+	// troubleTime is how long faults come, quietTime how long the jobs have after.
+	troubleTime = 12 * time.Second
+	quietTime   = 40 * time.Second
+	parallel    = 2
+)
+
+// program is the path of the built program.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "soak")
+	if err != nil {
+		panic(err)
+	}
+	program = filepath.Join(dir, "baobab")
+	build := exec.Command("go", "build", "-o", program, "../cmd/baobab")
+	build.Stdout, build.Stderr = os.Stderr, os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	code := m.Run()
+	if err := os.RemoveAll(dir); err != nil {
+		panic(err)
+	}
+	os.Exit(code)
+}
+
+// regressions are seeds that failed once.
+var regressions = []struct {
+	seed  uint64
+	cause string
+}{}
+
+// seeds returns what to play: fixed seeds in CI, others on demand.
+func seeds(t *testing.T) []uint64 {
+	if text := os.Getenv("BAOBAB_SOAK_SEED"); text != "" {
+		seed, err := strconv.ParseUint(text, 10, 64)
+		require.NoError(t, err)
+		return []uint64{seed}
+	}
+	if text := os.Getenv("BAOBAB_SOAK"); text != "" {
+		count, err := strconv.Atoi(text)
+		require.NoError(t, err)
+		var fresh []uint64
+		for range count {
+			fresh = append(fresh, uint64(rand.Uint32()))
+		}
+		return fresh
+	}
+	result := []uint64{1, 2}
+	for _, regression := range regressions {
+		result = append(result, regression.seed)
+	}
+	return result
+}
+
+func TestSoak(t *testing.T) {
+	limit := make(chan struct{}, parallel)
+	for _, seed := range seeds(t) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			play(t, seed)
+		})
+	}
+}
+
+// world is one run.
+type world struct {
+	t         *testing.T
+	record    *recorder
+	store     *storeServer
+	engines   []*engine
+	processes []*process
+	fronts    []string
+
+	mu       sync.Mutex
+	version  int
+	keys     map[string][]string
+	accepted int
+	drained  map[string]bool
+}
+
+var rates = map[string]float64{"zoo": 200, "small": 15}
+
+func play(t *testing.T, seed uint64) {
+	w := &world{t: t, record: newRecorder(), store: newStoreServer(seed), drained: make(map[string]bool),
+		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}}}
+	server := httptest.NewServer(w.store)
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	for i := range engines {
+		w.engines = append(w.engines, newEngine(t, fmt.Sprintf("i-%d", i), w.record))
+		w.list(i, "ready")
+	}
+	w.configure()
+	for i := range gateways {
+		p := newProcess(t, "gateway", fmt.Sprintf("gateway-%d", i), address, "")
+		w.processes = append(w.processes, p)
+		w.fronts = append(w.fronts, p.front)
+	}
+	for i, e := range w.engines {
+		w.processes = append(w.processes, newProcess(t, "runner", fmt.Sprintf("runner-%d", i), address, e.address))
+	}
+	time.Sleep(lead)
+	w.run(seed)
+	for _, p := range w.processes {
+		if p.surprise() {
+			w.record.broken("%s ended by itself:\n%s", p.name, p.tail())
+		}
+	}
+	for _, fault := range w.record.finish(rates) {
+		t.Errorf("seed %d: %s", seed, fault)
+	}
+	t.Logf("seed %d: %d of %d requests served, %d jobs accepted", seed, w.record.served, w.record.total, w.accepted)
+	assert.Greater(t, w.record.served, w.record.total/5, "seed %d", seed)
+	assert.Positive(t, w.accepted, "seed %d", seed)
+}
+
+// run drives clients and faults, and then lets the jobs finish in peace.
+func (w *world) run(seed uint64) {
+	ctx, cancel := context.WithTimeout(w.t.Context(), troubleTime)
+	defer cancel()
+	all, cancelAll := context.WithTimeout(w.t.Context(), troubleTime+quietTime)
+	defer cancelAll()
+	var clients, jobs sync.WaitGroup
+	for i, tenant := range []string{"zoo", "zoo", "small"} {
+		c := newClient(w, fmt.Sprintf("c%d", i), seed*10+uint64(i))
+		clients.Go(func() { c.live(ctx, tenant, 25) })
+	}
+	for i := range 6 {
+		c := newClient(w, fmt.Sprintf("b%d", i), seed*10+5+uint64(i))
+		jobs.Go(func() {
+			time.Sleep(time.Duration(i) * troubleTime / 7)
+			c.job(all, "zoo", i, i%3 == 2)
+		})
+	}
+	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
+	clients.Wait()
+	w.calm()
+	w.recover(seed)
+	jobs.Wait()
+}
+
+// recover checks that requests are served again soon after the faults.
+func (w *world) recover(seed uint64) {
+	const recovery = 12 * time.Second
+	time.Sleep(recovery)
+	ctx, cancel := context.WithTimeout(w.t.Context(), 2*time.Second)
+	defer cancel()
+	w.record.mu.Lock()
+	served, total := w.record.served, w.record.total
+	w.record.mu.Unlock()
+	newClient(w, "after", seed).live(ctx, "zoo", 20)
+	w.record.mu.Lock()
+	served, total = w.record.served-served, w.record.total-total
+	w.record.mu.Unlock()
+	if served < total/4 {
+		w.record.broken("%d of %d requests are served %s after the faults", served, total, recovery)
+	}
+}
+
+// trouble injects faults one upon the other until ctx is done.
+func (w *world) trouble(ctx context.Context, random *rand.Rand) {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for ctx.Err() == nil {
+		fault := w.draw(random)
+		group.Go(func() { fault(ctx) })
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(200+random.IntN(1200)) * time.Millisecond):
+		}
+	}
+}
+
+// draw returns a fault that lasts a while.
+func (w *world) draw(random *rand.Rand) func(context.Context) {
+	p := w.processes[random.IntN(len(w.processes))]
+	e := random.IntN(len(w.engines))
+	mode := proxyMode(1 + random.IntN(int(proxyModes)-1))
+	last := time.Duration(500+random.IntN(4000)) * time.Millisecond
+	trouble := []bhstand.Fault{bhstand.Refuse, bhstand.Lose, bhstand.Delay}[random.IntN(3)]
+	switch random.IntN(10) {
+	case 0:
+		return func(ctx context.Context) { p.store.set(mode); pause(ctx, last); p.store.set(pass) }
+	case 1:
+		return func(ctx context.Context) {
+			w.engines[e].proxy.set(mode)
+			pause(ctx, last)
+			w.engines[e].proxy.set(pass)
+		}
+	case 2:
+		return func(ctx context.Context) {
+			p.signal(syscall.SIGSTOP)
+			pause(ctx, last)
+			p.signal(syscall.SIGCONT)
+		}
+	case 3, 4:
+		return func(ctx context.Context) { w.restart(p, false) }
+	case 5:
+		return func(ctx context.Context) { w.restart(p, true) }
+	case 6:
+		return func(ctx context.Context) { w.store.set(trouble); pause(ctx, last); w.store.set(bhstand.Serve) }
+	case 7:
+		return func(context.Context) { w.rotate("zoo") }
+	case 8:
+		return func(ctx context.Context) { w.list(e, "draining"); pause(ctx, last); w.list(e, "ready") }
+	default:
+		return func(context.Context) { p.signal(syscall.SIGHUP); w.engines[e].proxy.reset() }
+	}
+}
+
+func pause(ctx context.Context, length time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(length):
+	}
+}
+
+// restart ends the process, gracefully or not, and starts it again.
+func (w *world) restart(p *process, graceful bool) {
+	w.mu.Lock()
+	busy := w.drained[p.name]
+	w.drained[p.name] = true
+	w.mu.Unlock()
+	if busy {
+		return
+	}
+	defer func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.drained[p.name] = false
+	}()
+	p.signal(syscall.SIGCONT)
+	if !graceful {
+		p.kill()
+	} else if !p.stop() {
+		p.kill() // it may have been frozen meanwhile
+	}
+	p.start(w.t)
+}
+
+// calm ends all faults.
+func (w *world) calm() {
+	w.store.set(bhstand.Serve)
+	for i, e := range w.engines {
+		e.proxy.set(pass)
+		w.list(i, "ready")
+	}
+	for _, p := range w.processes {
+		p.store.set(pass)
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+// gateway returns the address of any gateway.
+func (w *world) gateway(random *rand.Rand) string { return w.fronts[random.IntN(len(w.fronts))] }
+
+// key returns the newest key of the tenant.
+func (w *world) key(tenant string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	keys := w.keys[tenant]
+	return keys[len(keys)-1]
+}
+
+func (w *world) wasRevoked(key string) bool {
+	w.record.mu.Lock()
+	defer w.record.mu.Unlock()
+	_, ok := w.record.revoked[key]
+	return ok
+}
+
+// rotate adds a key to the tenant and takes the one before away.
+func (w *world) rotate(tenant string) {
+	w.mu.Lock()
+	keys := w.keys[tenant]
+	old := keys[len(keys)-1]
+	w.keys[tenant] = []string{fmt.Sprintf("%s-%d", tenant, w.version+1)}
+	w.mu.Unlock()
+	// Clients that use the old key are told at the moment of the change.
+	w.record.mu.Lock()
+	w.record.revoked[old] = time.Now().Add(time.Hour)
+	w.record.mu.Unlock()
+	w.configure()
+	w.record.mu.Lock()
+	w.record.revoked[old] = time.Now()
+	w.record.mu.Unlock()
+}
+
+// list writes the engine's entry.
+func (w *world) list(i int, state string) {
+	e := w.engines[i]
+	require.NoError(w.t, w.store.put("servers", e.id, map[string]any{
+		"service": "llm", "address": e.address, "zone": "z", "slots": engineSlots, "state": state, "born": 1,
+	}))
+}
+
+// configure writes the next version of the configuration.
+func (w *world) configure() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version++
+	var routes []map[string]any
+	for kind, prefixes := range map[string]string{"safe": "safe", "unsafe": "unsafe", "streaming": "stream resume", "batch": "jobs"} {
+		for prefix := range strings.FieldsSeq(prefixes) {
+			routes = append(routes, map[string]any{
+				"name": prefix, "host": "svc.example", "prefix": "/" + prefix + "/", "kind": kind, "service": "llm", "maxAttempts": 3,
+				"timeoutMs": 4000, "targetLatencyMs": 300, "resumable": prefix == "resume", "runTargetMs": 18000, "retentionS": 300,
+			})
+		}
+	}
+	var tenants []map[string]any
+	for name, keys := range w.keys {
+		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys, "ratePerS": rates[name], "burst": rates[name]})
+	}
+	require.NoError(w.t, w.store.put("op", "config", map[string]any{
+		"version": w.version, "routes": routes, "tenants": tenants, "services": []map[string]any{{"name": "llm", "engine": map[string]any{"slots": engineSlots}}},
+	}))
+}
