Let a part of an account's rate accrue with gateways; keep failed parts from ending a process

Now a holding carries a rate and a cap beside its tokens; the bucket's own rate and theirs add up to the account's, and what they can have at most counts as content, so the bound stays.

The soak takes its ports from outside the range of outgoing ones, which had caused the collision.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -145,8 +145,8 @@
 
 	bhlog.Event(logger, "start", "role", role.name, "host", settings.Host, "centre", settings.Centre, "holder", h.holder, "version", Version)
 	tree := bhtree.New(bhtree.Config{Name: role.name, Logger: logger})
-	tree.Add("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
-	tree.AddRestarted("admin", h.admin(output))
+	tree.AddPersistent("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
+	tree.AddPersistent("admin", h.admin(output))
 	role.build(h, tree)
 	err = tree.Run(ctx)
 	bhlog.Event(logger, "stop", "role", role.name, "err", err, "lines_dropped", output.Dropped())
@@ -225,13 +225,20 @@
 		return server.Run(ctx)
 	})
 	// What a gateway serves with outlives its last request.
-	tree.Add("watch", outlive(serving, h.watcher.Run))
-	tree.Add("quota", outlive(serving, limiter.Run))
+	tree.AddPersistent("watch", outlive(serving, h.watcher.Run))
+	tree.AddPersistent("quota", outlive(serving, limiter.Run))
 }
 
-// outlive runs a child until the other context is done.
+// outlive runs a child until the other context is done, and holds the tree
+// until then.
 func outlive(other context.Context, child bhtree.Run) bhtree.Run {
-	return func(context.Context) error { return child(other) }
+	return func(ctx context.Context) error {
+		err := child(other)
+		if other.Err() != nil {
+			<-ctx.Done()
+		}
+		return err
+	}
 }
 
 func (h *hosted) index() *bhpolicy.Index { return h.watcher.View().Index }
@@ -255,10 +262,10 @@
 		Address:  func() string { return h.file.Current().Engine },
 		Stale:    func() time.Duration { return runnerStale },
 	})
-	tree.Add("watch", h.watcher.Run)
-	tree.Add("beat", runner.Beat)
-	tree.Add("look", runner.Look)
-	tree.Add("pace", runner.Pace)
+	tree.AddPersistent("watch", h.watcher.Run)
+	tree.AddPersistent("beat", runner.Beat)
+	tree.AddPersistent("look", runner.Look)
+	tree.AddPersistent("pace", runner.Pace)
 	tree.Add("claims", func(ctx context.Context) error {
 		<-ctx.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), runnerStop)
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -23,6 +24,8 @@
 	idleByPolicy = 1000 * time.Hour
 	// defaultIdle holds until a policy is known.
 	defaultIdle = 60 * time.Second
+	// listenPause is between attempts to listen.
+	listenPause = 200 * time.Millisecond
 	// headerTimeout and headerBytes hold whatever the policy says, which clients
 	// of these fleets stay within.
 	headerTimeout = 10 * time.Second
@@ -70,14 +73,9 @@
 // Run serves until ctx is done and then stops gracefully: it turns not ready,
 // accepts until the balancer knows, and finishes what is in flight.
 func (s *Server) Run(ctx context.Context) error {
-	front, err := net.Listen("tcp", s.config.Front)
-	if err != nil {
-		return errors.Wrap(err, "front")
-	}
-	ready, err := net.Listen("tcp", s.config.Ready)
-	if err != nil {
-		front.Close()
-		return errors.Wrap(err, "readiness")
+	front, ready := s.listen(ctx, s.config.Front), s.listen(ctx, s.config.Ready)
+	if front == nil || ready == nil {
+		return nil // stopped before there were listeners
 	}
 	failed := make(chan error, 2)
 	go func() { failed <- s.front.Serve(&idleListener{Listener: front, idle: s.idle}) }()
@@ -91,6 +89,21 @@
 	return s.stop()
 }
 
+// listen listens on the address, again and again until ctx is done: the port may
+// still be in use by a process before this one.
+func (s *Server) listen(ctx context.Context, address string) net.Listener {
+	for {
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return listener
+		}
+		bhlog.Problem(s.config.Logger, "listen.failed", err, "address", address)
+		if !bhtree.Sleep(ctx, listenPause) {
+			return nil
+		}
+	}
+}
+
 func (s *Server) stop() error {
 	started := time.Now()
 	drain := s.config.Drain()
--- a/bhquota/limiter_test.go
+++ b/bhquota/limiter_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,7 +207,7 @@
 				}
 				random := rand.New(rand.NewPCG(1, 1))
 				f.drive(random, "zoo", c.rate/1.6, 5*time.Second) // demand is learnt
-				asked, got := f.drive(random, "zoo", c.rate/1.6, 60*time.Second)
+				asked, got := f.drive(random, "zoo", c.rate/1.6, 600*time.Second)
 				assert.LessOrEqual(t, float64(asked-got), 0.001*float64(asked), "at 1/1.6 of the rate, %d asked", asked)
 				f.close()
 			})
@@ -346,3 +347,32 @@
 		f.close()
 	})
 }
+
+func TestTokensLastThroughAShortOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var down atomic.Bool
+		store := bhstand.NewStore(bhstand.StoreConfig{Latency: 5 * time.Millisecond, Fault: func(bool) bhstand.Fault {
+			if down.Load() {
+				return bhstand.Refuse
+			}
+			return bhstand.Serve
+		}})
+		f := newFleet(t, store, bhpolicy.Account{Name: "zoo", Rate: 43, Burst: 43})
+		for range 8 {
+			f.add()
+		}
+		random := rand.New(rand.NewPCG(5, 5))
+		f.drive(random, "zoo", 27, 20*time.Second)
+		asked, got := 0, 0
+		for range 10 {
+			down.Store(true)
+			a, g := f.drive(random, "zoo", 27, 3*time.Second)
+			asked, got = asked+a, got+g
+			down.Store(false)
+			f.drive(random, "zoo", 27, 10*time.Second)
+		}
+		// Later than 3 s requests with keys aren't expected to be served.
+		assert.GreaterOrEqual(t, float64(got), 0.9*float64(asked), "%d of %d", got, asked)
+		f.close()
+	})
+}
--- a/bhquota/purse.go
+++ b/bhquota/purse.go
@@ -4,21 +4,30 @@
 
 const (
 	// supply is how long the tokens at hand should last at the present demand.
-	supply = 2500 * time.Millisecond
+	supply = 2 * time.Second
 	// idleDemand is the demand in tokens a second below which none are kept.
 	idleDemand = 0.2
+	// lendDemand is the demand in tokens a second above which a part of the rate
+	// accrues with the gateway. Less demand would leave too much of it unused.
+	lendDemand = 1.0
 	// demandMemory is the time over which demand is averaged.
 	demandMemory = 3 * time.Second
 	// stockShare is the part of a bucket that all gateways together keep at hand.
-	stockShare = 0.6
+	stockShare = 0.5
+	// headroom is the lent rate as a multiple of the demand, for its peaks.
+	headroom = 1.3
+	// fairShare bounds the lent rate of a gateway as a multiple of an equal share.
+	fairShare = 2.5
 )
 
-// purse is what this gateway holds of one account.
+// purse is what this gateway holds of one account. Times are of its own clock.
 type purse struct {
-	// ledger is the holding in the store, spent what was used of it since.
-	ledger float64
-	spent  float64
-	// until is when the tokens lapse, by our clock.
+	// tokens are as of at; rate more accrue a second, up to cap.
+	tokens float64
+	rate   float64
+	cap    float64
+	at     time.Duration
+	// until is when all of it lapses.
 	until time.Duration
 	// demand is in tokens a second, as of asked.
 	demand float64
@@ -41,30 +50,30 @@
 	p.asked = now
 }
 
-// left returns how many tokens may be spent.
-func (p *purse) left(now time.Duration) float64 {
+// advance adds what has accrued, drops what has lapsed, and returns the tokens.
+func (p *purse) advance(now time.Duration) float64 {
 	if now >= p.until {
-		return 0
+		p.tokens, p.rate, p.cap = 0, 0, 0
 	}
-	return p.ledger - p.spent
-}
-
-// settle returns the tokens that are left, after dropping lapsed ones and those
-// beyond a limit that was lowered.
-func (p *purse) settle(now time.Duration, capacity float64) float64 {
-	if now >= p.until {
-		p.ledger, p.spent = 0, 0
+	if now > p.at {
+		p.tokens = max(p.tokens, min(p.cap, p.tokens+p.rate*(now-p.at).Seconds()))
+		p.at = now
 	}
-	p.ledger = min(p.ledger, p.spent+capacity)
-	return max(0, p.ledger-p.spent)
+	return p.tokens
 }
 
-// wanted returns how many tokens should be at hand. A share of the bucket that
-// is less than a token would lie idle, so none is kept then.
-func (p *purse) wanted() float64 {
-	wanted := float64(p.waiting)
-	if p.demand > idleDemand && p.stock >= 1 {
-		wanted += min(p.stock, p.demand*supply.Seconds()+1)
+// wish returns what the purse should hold. A share of the bucket that is less
+// than a token would lie idle, so none is kept then.
+func (p *purse) wish(limit limit, contenders int) wish {
+	wanted := wish{tokens: float64(p.waiting)}
+	if p.demand <= idleDemand || p.stock < 1 {
+		return wanted
+	}
+	stock := min(p.stock, p.demand*supply.Seconds()+1)
+	wanted.tokens += stock
+	if p.demand > lendDemand {
+		wanted.cap = stock
+		wanted.rate = min(p.demand*headroom, fairShare*limit.rate/float64(contenders))
 	}
 	return wanted
 }
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -30,7 +30,7 @@
 	// one has mostly been changed by other gateways.
 	basisLimit = 20 * time.Millisecond
 	// syncTries bounds the compare-and-set attempts of one round.
-	syncTries = 5
+	syncTries = 8
 )
 
 // basis is the record as this gateway last saw it.
@@ -47,10 +47,12 @@
 // proposal is what a write would make of a purse.
 type proposal struct {
 	held  holding
-	spent float64
 	until time.Duration
-	// forgone is what the purse gave back before the write was sent.
+	// grant is what the purse gains, forgone what it gave back before the write
+	// was sent, and rate what accrued before.
+	grant   float64
 	forgone float64
+	rate    float64
 }
 
 // syncer exchanges the tokens of one account with the store.
@@ -101,10 +103,9 @@
 	p.waiting++
 	defer func() { p.waiting-- }()
 	for {
-		now := s.config.Clock.Now()
-		if left := p.left(now); left >= 1 {
-			p.spent++
-			if left-1 < p.wanted()/2 {
+		if p.advance(s.config.Clock.Now()) >= 1 {
+			p.tokens--
+			if p.demand > idleDemand && p.tokens < p.stock/2 {
 				signal(s.low)
 			}
 			return true
@@ -187,7 +188,7 @@
 	defer s.mu.Unlock()
 	now := s.config.Clock.Now()
 	p := &s.purse
-	if p.left(now) > 0 || p.waiting > 0 || s.pending != nil {
+	if p.advance(now) > 0 || p.rate > 0 || p.waiting > 0 || s.pending != nil {
 		return 0
 	}
 	return max(1, now-p.asked)
@@ -244,7 +245,7 @@
 	if !ok || now >= own.Until {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.purse.ledger, s.purse.spent = 0, 0
+		s.purse.until = 0
 	}
 }
 
@@ -301,21 +302,24 @@
 	defer s.mu.Unlock()
 	p := &s.purse
 	p.decay(s.config.Clock.Now())
+	left := min(p.advance(s.config.Clock.Now()), bounds.capacity)
 	p.stock = stockShare * bounds.capacity / float64(s.contenders)
-	wanted := p.wanted()
+	wanted := p.wish(bounds, s.contenders)
 	if leave {
-		wanted = 0
+		wanted = wish{}
 	}
-	left := p.settle(s.config.Clock.Now(), bounds.capacity)
-	held := b.draw(s.config.Holder, left, wanted, now+holdLimit, s.serial)
+	held := b.draw(s.config.Holder, bounds, left, wanted)
+	held.Until, held.Serial = now+holdLimit, s.serial
+	b.Holdings[s.config.Holder] = held
 	if leave {
 		delete(b.Holdings, s.config.Holder)
 	}
-	// What is given back may not be used unless the write certainly failed.
-	forgone := max(0, left-held.Tokens)
-	p.ledger -= forgone
 	s.short = held.Tokens < float64(p.waiting)
-	return proposal{held: held, spent: p.spent, forgone: forgone}
+	// What is given back may not be used unless the write certainly failed.
+	proposed := proposal{held: held, grant: max(0, held.Tokens-left), forgone: max(0, p.tokens-held.Tokens), rate: p.rate}
+	p.tokens -= proposed.forgone
+	p.rate = min(p.rate, held.Rate)
+	return proposed
 }
 
 // confirm takes in what a write made of the purse and wakes requests.
@@ -323,9 +327,10 @@
 	s.pending = nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.purse.ledger = proposed.held.Tokens
-	s.purse.spent -= proposed.spent
-	s.purse.until = proposed.until
+	p := &s.purse
+	p.advance(s.config.Clock.Now())
+	p.tokens += proposed.grant
+	p.rate, p.cap, p.until = proposed.held.Rate, proposed.held.Cap, proposed.until
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
@@ -334,7 +339,8 @@
 func (s *syncer) withdraw() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.purse.ledger += s.pending.forgone
+	s.purse.tokens += s.pending.forgone
+	s.purse.rate = s.pending.rate
 	s.pending = nil
 }
 
--- a/bhtree/tree.go
+++ b/bhtree/tree.go
@@ -58,6 +58,39 @@
 	t.Add(name, func(ctx context.Context) error { return t.restart(ctx, name, child) })
 }
 
+// AddPersistent adds a child that is restarted with exponential backoff however
+// often it ends or panics. It never stops the tree.
+func (t *Tree) AddPersistent(name string, child Run) {
+	t.Add(name, func(ctx context.Context) error {
+		backoff := restartBackoff
+		for {
+			started := time.Now()
+			err := guard(ctx, child)
+			if ctx.Err() != nil {
+				return nil
+			}
+			if time.Since(started) > restartWindow {
+				backoff = restartBackoff
+			}
+			bhlog.Problem(t.logger, "child.restart", err, "child", name, "backoff", backoff)
+			if !Sleep(ctx, backoff) {
+				return nil
+			}
+			backoff = min(2*backoff, restartBackoffMax)
+		}
+	})
+}
+
+// guard runs a child and turns a panic into an error.
+func guard(ctx context.Context, child Run) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			err = errors.Errorf("panic: %v", reason)
+		}
+	}()
+	return child(ctx)
+}
+
 // Run runs all children until ctx is done or one of them ends. It returns nil
 // if ctx was done first.
 func (t *Tree) Run(ctx context.Context) error {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -3,11 +3,13 @@
 import (
 	"bytes"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,15 +39,23 @@
 	expected bool
 }
 
+// nextPort is below the range from which the system draws ports of its own.
+var nextPort atomic.Int32
+
+func init() { nextPort.Store(10_000 + rand.Int32N(10_000)) }
+
 // freePorts returns ports of the loopback that nobody listens on now.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
 	var ports []int
-	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		defer listener.Close()
-		ports = append(ports, listener.Addr().(*net.TCPAddr).Port)
+	for len(ports) < count {
+		port := int(nextPort.Add(1))
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		require.NoError(t, listener.Close())
+		ports = append(ports, port)
 	}
 	return ports
 }
