--- a/bhgate/board.go
+++ b/bhgate/board.go
@@ -14,6 +14,9 @@
 	// broke one; it doubles up to restMax.
 	restBase = 250 * time.Millisecond
 	restMax  = 4 * time.Second
+	// goneTime is how long an instance whose address answers for another one is
+	// passed over; by then the list of upstreams shows which of them is there.
+	goneTime = 5 * time.Second
 )
 
 // upstream is what this gateway knows of one instance from its own requests.
@@ -21,6 +24,7 @@
 	inflight  int
 	failures  int
 	restUntil time.Time
+	goneUntil time.Time
 	seen      time.Time
 }
 
@@ -57,7 +61,7 @@
 	var least float64
 	found := false
 	for _, instance := range instances {
-		if instance.Draining || excluded[instance.ID] {
+		if instance.Draining || excluded[instance.ID] || now.Before(b.state(instance.ID).goneUntil) {
 			continue
 		}
 		if score := b.score(instance, now); !found || score < least {
@@ -116,6 +120,14 @@
 	bhlog.Problem(b.logger, "upstream.rest", err, "upstream", id, "failures", state.failures, "rest", rest)
 }
 
+// Gone notes that another instance has the upstream's address.
+func (b *Board) Gone(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state(id).goneUntil = time.Now().Add(goneTime)
+	bhlog.Event(b.logger, "upstream.moved", "upstream", id, "passed_over", goneTime)
+}
+
 // Worked notes an answer of the upstream.
 func (b *Board) Worked(id string) {
 	b.mu.Lock()
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -164,6 +164,9 @@
 	}
 	defer current.close()
 	answer := current.answer
+	if answer.Status == http.StatusMisdirectedRequest {
+		c.gate.config.Board.Gone(instance.ID)
+	}
 	if c.gate.config.Dialect.Refused(answer) {
 		return true, bhcode.New(bhcode.Overloaded, "upstream %s refused with status %d", instance.ID, answer.Status).WithRetryAfter(fullRetry)
 	}
--- a/bhquota/purse.go
+++ b/bhquota/purse.go
@@ -3,13 +3,16 @@
 import "time"
 
 const (
-	// supply is how long the tokens at hand should last at the present demand.
-	supply = 2 * time.Second
+	// supply is how long the tokens at hand should last at the present demand:
+	// for as long as requests are expected to be served without the store.
+	supply = 3500 * time.Millisecond
 	// idleDemand is the demand in tokens a second below which none are kept.
 	idleDemand = 0.2
-	// lendDemand is the demand in tokens a second above which a part of the rate
-	// accrues with the gateway. Less demand would leave too much of it unused.
+	// lendDemand is the demand in tokens a second, and lendStock the stock, above
+	// which a part of the rate accrues with the gateway. With less of both too
+	// much of it would lie unused.
 	lendDemand = 1.0
+	lendStock  = 2.0
 	// demandMemory is the time over which demand is averaged.
 	demandMemory = 3 * time.Second
 	// stockShare is the part of a bucket that all gateways together keep at hand.
@@ -71,7 +74,7 @@
 	}
 	stock := min(p.stock, p.demand*supply.Seconds()+1)
 	wanted.tokens += stock
-	if p.demand > lendDemand {
+	if p.demand > lendDemand || p.stock >= lendStock {
 		wanted.cap = stock
 		wanted.rate = min(p.demand*headroom, fairShare*limit.rate/float64(contenders))
 	}
