Give each quota record its own partition, keep more stock of large buckets, log refusals

Ruled out: empty buckets. TestRequestsWithinTheRateAreNotRefused and the bound's traces pass as before.

--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -90,11 +90,15 @@
 func (l *Limiter) Take(ctx context.Context, account *bhpolicy.Account) (time.Duration, bool) {
 	ctx, cancel := context.WithTimeout(ctx, takeTimeout)
 	defer cancel()
-	if s := l.syncer(ctx, account.Name); s != nil && s.take(ctx) {
+	s := l.syncer(ctx, account.Name)
+	if s != nil && s.take(ctx) {
 		l.taken.Inc(1)
 		return 0, true
 	}
 	l.refused.Inc(1)
+	if s != nil {
+		s.explain(account)
+	}
 	wait := time.Duration(float64(time.Second) / max(account.Rate, 0.001))
 	return min(maxRetry, max(minRetry, wait)), false
 }
--- a/bhquota/purse.go
+++ b/bhquota/purse.go
@@ -8,15 +8,16 @@
 	supply = 3500 * time.Millisecond
 	// idleDemand is the demand in tokens a second below which none are kept.
 	idleDemand = 0.2
-	// lendDemand is the demand in tokens a second, and lendStock the stock, above
-	// which a part of the rate accrues with the gateway. With less of both too
-	// much of it would lie unused.
-	lendDemand = 1.0
-	lendStock  = 2.0
+	// lendShare is the equal share of the rate in tokens a second, and lendStock
+	// the stock, from which on a part of the rate accrues with the gateway. With
+	// less of both too much of it would lie unused.
+	lendShare = 1.0
+	lendStock = 2.0
 	// demandMemory is the time over which demand is averaged.
 	demandMemory = 3 * time.Second
-	// stockShare is the part of a bucket that all gateways together keep at hand.
-	stockShare = 0.5
+	// commonStock is how many tokens of a bucket are left for gateways without
+	// stock; the rest is kept at hand by all gateways together.
+	commonStock = 18
 	// headroom is the lent rate as a multiple of the demand, for its peaks.
 	headroom = 1.3
 	// fairShare bounds the lent rate of a gateway as a multiple of an equal share.
@@ -74,7 +75,7 @@
 	}
 	stock := min(p.stock, p.demand*supply.Seconds()+1)
 	wanted.tokens += stock
-	if p.demand > lendDemand || p.stock >= lendStock {
+	if limit.rate >= lendShare*float64(contenders) || p.stock >= lendStock {
 		wanted.cap = stock
 		wanted.rate = min(p.demand*headroom, fairShare*limit.rate/float64(contenders))
 	}
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -2,23 +2,21 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
 )
 
 const (
 	quotaTable = "quota"
-	// partitions spread the accounts, each with a record of its own.
-	partitions = 16
 	// contenderPause spreads the rounds of an empty bucket's gateways: each waits
 	// this long for every other, which makes 40 rounds a second of 200.
 	contenderPause = 25 * time.Millisecond
@@ -76,17 +74,25 @@
 	contenders int
 	// short reports that the last round left requests without tokens.
 	short bool
+
+	// last is what the last round found, for the log.
+	last atomic.Pointer[finding]
+}
+
+// finding is the bucket as a round found it.
+type finding struct {
+	at         time.Duration
+	level      float64
+	contenders int
+	version    bhplatform.Version
 }
 
 func newSyncer(config Config, account string) *syncer {
 	return &syncer{
 		config:  config,
 		account: account,
-		key: bhplatform.Key{
-			Table:     quotaTable,
-			Partition: "q" + strconv.FormatUint(xxhash.Sum64String(account)%partitions, 10),
-			Name:      account,
-		},
+		// A partition of its own keeps a busy account's writes from delaying others.
+		key:     bhplatform.Key{Table: quotaTable, Partition: account, Name: account},
 		low:     make(chan struct{}, 1),
 		need:    make(chan struct{}, 1),
 		changed: make(chan struct{}),
@@ -118,6 +124,20 @@
 	}
 }
 
+// explain logs why a request was refused.
+func (s *syncer) explain(account *bhpolicy.Account) {
+	s.mu.Lock()
+	p := s.purse
+	s.mu.Unlock()
+	now := s.config.Clock.Now()
+	pairs := []any{"account", s.account, "rate", account.Rate, "burst", account.Burst, "tokens", p.tokens, "lent_rate", p.rate,
+		"demand", p.demand, "waiting", p.waiting, "lapses_in", p.until - now}
+	if last := s.last.Load(); last != nil {
+		pairs = append(pairs, "bucket", last.level, "contenders", last.contenders, "version", last.version, "age", now-last.at)
+	}
+	bhlog.Event(s.config.Logger, "quota.refused", pairs...)
+}
+
 // wait waits for tokens or ctx, without the mutex.
 func (s *syncer) wait(ctx context.Context) {
 	changed := s.changed
@@ -303,11 +323,12 @@
 	p := &s.purse
 	p.decay(s.config.Clock.Now())
 	left := min(p.advance(s.config.Clock.Now()), bounds.capacity)
-	p.stock = stockShare * bounds.capacity / float64(s.contenders)
+	p.stock = max(0, bounds.capacity-commonStock) / float64(s.contenders)
 	wanted := p.wish(bounds, s.contenders)
 	if leave {
 		wanted = wish{}
 	}
+	s.last.Store(&finding{at: s.config.Clock.Now(), level: b.Level, contenders: s.contenders, version: s.basis.version})
 	held := b.draw(s.config.Holder, bounds, left, wanted)
 	held.Until, held.Serial = now+holdLimit, s.serial
 	b.Holdings[s.config.Holder] = held
