--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -122,7 +122,7 @@
 		return err
 	}
 	output := bhlog.NewAsyncWriter(factory.Streams.Out)
-	defer output.Close()
+	defer func() { _ = output.Close() }()
 	logger, err := bhlog.New(output, options.Log)
 	if err != nil {
 		return &UsageError{Message: err.Error()}
@@ -135,8 +135,7 @@
 	}
 	defer metrics.Close()
 	h := newHost(file, role.interval, metrics, logger)
-	defer h.store.Close()
-	defer h.pool.Close()
+	defer h.close()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	reload := make(chan os.Signal, 1)
@@ -174,6 +173,11 @@
 	}
 }
 
+func (h *hosted) close() {
+	_ = h.pool.Close()
+	_ = h.store.Close()
+}
+
 func limitResources(settings bhhost.Settings) {
 	if settings.Cores > 0 {
 		runtime.GOMAXPROCS(settings.Cores)
@@ -250,22 +254,24 @@
 // runner adds the parts of a runner to the tree.
 func (h *hosted) runner(tree *bhtree.Tree) {
 	runner := bhjob.NewRunner(bhjob.RunnerConfig{
-		Holder:   h.holder,
-		Ledger:   h.ledger(),
-		Policies: h.watcher,
-		Engine:   &platform.Engine{Pool: h.pool},
-		Pool:     h.pool,
-		Dialect:  platform.Dialect(),
-		Clock:    h.clock,
-		Logger:   h.logger,
-		Scope:    h.metrics.Scope,
-		Address:  func() string { return h.file.Current().Engine },
-		Stale:    func() time.Duration { return runnerStale },
+		Holder:    h.holder,
+		Ledger:    h.ledger(),
+		Policies:  h.watcher,
+		Engine:    &platform.Engine{Pool: h.pool},
+		Pool:      h.pool,
+		Dialect:   platform.Dialect(),
+		Clock:     h.clock,
+		Logger:    h.logger,
+		Scope:     h.metrics.Scope,
+		Address:   func() string { return h.file.Current().Engine },
+		Stale:     func() time.Duration { return runnerStale },
+		Retention: func() time.Duration { return h.file.Current().ResultRetention },
 	})
 	tree.AddPersistent("watch", h.watcher.Run)
 	tree.AddPersistent("beat", runner.Beat)
 	tree.AddPersistent("look", runner.Look)
 	tree.AddPersistent("pace", runner.Pace)
+	tree.AddPersistent("sweep", runner.Sweep)
 	tree.Add("claims", func(ctx context.Context) error {
 		<-ctx.Done()
 		ctx, cancel := context.WithTimeout(context.Background(), runnerStop)
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -58,11 +58,11 @@
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.UpstreamLost, "connecting to "+address)
 	}
-	stop := context.AfterFunc(ctx, func() { c.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	answer, err := p.exchange(c, request)
 	if err != nil {
 		stop()
-		c.Close()
+		_ = c.Close()
 		return nil, bhcode.Wrap(err, bhcode.UpstreamLost, "upstream "+address).WithRan(bhcode.RanUnknown)
 	}
 	answer.Reused, answer.address, answer.stop = reused, address, stop
@@ -76,7 +76,7 @@
 		_, err := c.Write(data)
 		written <- err
 	}()
-	response, err := readHead(c.reader, request.Method)
+	response, err := readHead(c.reader, request.Method) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
 	if err != nil {
 		return nil, err
 	}
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -76,7 +76,7 @@
 	defer p.mu.Unlock()
 	for _, list := range p.idle {
 		for _, c := range list {
-			c.Close()
+			_ = c.Close()
 		}
 	}
 	clear(p.idle)
@@ -93,7 +93,7 @@
 		if c.usable() {
 			return c, true, nil
 		}
-		c.Close()
+		_ = c.Close()
 	}
 	raw, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
@@ -120,7 +120,7 @@
 	defer p.mu.Unlock()
 	list := p.idle[address]
 	if len(list) >= idlePerAddress {
-		list[0].Close()
+		_ = list[0].Close()
 		list = list[1:]
 	}
 	p.idle[address] = append(list, c)
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -50,6 +50,8 @@
 
 	sends    int
 	upstream string
+	// job names the job that a call is about.
+	job string
 	// begun reports that the head of an answer was sent to the client.
 	begun  bool
 	status int
@@ -257,7 +259,7 @@
 	if c.view.Index != nil {
 		version = c.view.Index.Policy.Version
 	}
-	pairs := []any{"request", c.id, "route", route, "account", account, "policy", version,
+	pairs := []any{"request", c.id, "job", c.job, "route", route, "account", account, "policy", version,
 		"proof_age", c.gate.config.Clock.Now() - c.view.Proof, "sends", c.sends, "upstream", c.upstream,
 		"status", c.status, "bytes", c.bytes, "took", time.Since(c.arrived)}
 	if err != nil {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -44,7 +44,7 @@
 
 func (a *attempt) close() {
 	a.patience.stop()
-	a.answer.Close()
+	_ = a.answer.Close()
 	a.cancel()
 }
 
--- a/bhgate/jobs.go
+++ b/bhgate/jobs.go
@@ -72,6 +72,7 @@
 	if err != nil {
 		return bhcode.Wrap(err, bhcode.BatchInvalid, "the job is malformed")
 	}
+	c.job = c.id
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.expires)
 	defer cancel()
 	err = c.gate.config.Jobs.Submit(ctx, bhjob.Submission{
@@ -97,6 +98,7 @@
 	if !ok {
 		return bhcode.New(bhcode.NotFound, "host %q has no route for %q", c.r.Host, c.r.RequestURI)
 	}
+	c.job = call.Job
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.expires)
 	defer cancel()
 	jobs := c.gate.config.Jobs
--- a/bhgate/metric.go
+++ b/bhgate/metric.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
-	"github.com/pkg/errors"
 )
 
 // metrics are a gate's counters and histograms.
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -115,9 +115,9 @@
 	err := s.front.Shutdown(ctx)
 	if err != nil {
 		bhlog.Problem(s.config.Logger, "gate.cut", err, "inflight", s.config.Gate.Inflight())
-		s.front.Close()
+		_ = s.front.Close()
 	}
-	s.ready.Close()
+	_ = s.ready.Close()
 	bhlog.Event(s.config.Logger, "gate.stopped", "took", time.Since(started))
 	return nil
 }
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -252,7 +252,7 @@
 	if err != nil {
 		return err
 	}
-	defer answer.Close()
+	defer func() { _ = answer.Close() }()
 	u.runner.metrics.sends.Inc(1)
 	switch {
 	case u.runner.config.Dialect.Refused(answer):
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -65,6 +65,8 @@
 	Address func() string
 	// Stale returns the age at which a policy is too old to start items by.
 	Stale func() time.Duration
+	// Retention returns for how long results stay readable.
+	Retention func() time.Duration
 }
 
 // Runner runs items at the engine beside it, in the slots that live requests
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -74,10 +74,10 @@
 	if err != nil {
 		return
 	}
-	switch {
-	case r.URL.Path == "/rows-get":
+	switch r.URL.Path {
+	case "/rows-get":
 		s.get(w, r)
-	case r.URL.Path == "/rows-tx":
+	case "/rows-tx":
 		s.transact(w, r, body)
 	default:
 		http.Error(w, "no such call", http.StatusNotFound)
