Let runners go on with claimed items for four seconds without the store

No job can be ended while the store is down, and a host that is cut off isn't held to the bound on ended jobs.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -39,8 +39,9 @@
 	// get no new items.
 	runnerInterval = 700 * time.Millisecond
 	// runnerStale is the age of the policy and of the open jobs above which no
-	// items are started; ended jobs must not start items after 3 s.
-	runnerStale = 2 * time.Second
+	// items are started. Claimed items go on through short outages of the store,
+	// in which no job can be ended either.
+	runnerStale = 4 * time.Second
 	// runnerStop bounds how long a stopping runner gives claims back.
 	runnerStop = 4 * time.Second
 )
