Remove what nothing uses from the gateway, the runner and their settings

Read as a newcomer: loads of other gateways (never built), the watcher's ready channel, the gate's wait for idleness, settings that no part reads, the score that Pick returned, and a check for a closed server that bhserve makes already. The board forgets unused upstreams by a part of its own (TestUnusedUpstreamsAreForgotten). No behaviour changes; the tests of these packages pass under the race detector.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"os/signal"
 	"runtime"
@@ -196,20 +195,21 @@
 		Index:  h.index,
 		Tolerance: func() bhquota.Tolerance {
 			settings := h.file.Current()
-			return bhquota.Tolerance{Window: settings.QuotaWindow, Over: settings.QuotaOver, Slack: settings.QuotaSlack}
+			return bhquota.Tolerance{Over: settings.QuotaOver, Slack: settings.QuotaSlack}
 		},
 		Clock:  h.clock,
 		Logger: h.logger,
 		Scope:  h.metrics.Scope,
 	})
 	settings := h.file.Current()
+	board := bhgate.NewBoard(settings.Centre, h.logger)
 	gate := bhgate.New(bhgate.Config{
 		Dialect:    platform.Dialect(),
 		Calls:      platform.JobCalls{},
 		Policies:   h.watcher,
 		Quota:      limiter,
 		Jobs:       h.ledger(),
-		Board:      bhgate.NewBoard(settings.Centre, nil, h.logger),
+		Board:      board,
 		Pool:       h.pool,
 		Clock:      h.clock,
 		Logger:     h.logger,
@@ -232,6 +232,7 @@
 	// What a gateway serves with outlives its last request.
 	tree.AddPersistent("watch", outlive(serving, h.watcher.Run))
 	tree.AddPersistent("quota", outlive(serving, limiter.Run))
+	tree.AddPersistent("board", board.Run)
 }
 
 // outlive runs a child until the other context is done, and holds the tree
@@ -297,13 +298,6 @@
 			return errors.Wrap(err, "metrics")
 		}
 		server := bhserve.NewServer(ctx, e)
-		return ignoreClosed(bhserve.Run(server, listener)(ctx))
+		return bhserve.Run(server, listener)(ctx)
 	}
 }
-
-func ignoreClosed(err error) error {
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return err
-}
--- a/bhgate/board.go
+++ b/bhgate/board.go
@@ -1,11 +1,13 @@
 package bhgate
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -17,6 +19,8 @@
 	// goneTime is how long an instance whose address answers for another one is
 	// passed over; by then the list of upstreams shows which of them is there.
 	goneTime = 5 * time.Second
+	// pruneInterval is long after any rest.
+	pruneInterval = time.Minute
 )
 
 // upstream is what this gateway knows of one instance from its own requests.
@@ -35,25 +39,25 @@
 
 	mu        sync.Mutex
 	upstreams map[string]*upstream
-	loads     Loads
 }
 
-// Loads tells how many live requests run and wait at an upstream, from all
-// gateways, and how many of this gateway's sends the figure doesn't hold yet.
-type Loads interface {
-	// Load returns the load and when it was measured; false if it is unknown.
-	Load(instance string) (load int, measured time.Time, ok bool)
+// NewBoard returns an empty board for a gateway in the data centre.
+func NewBoard(centre string, logger bhlog.Logger) *Board {
+	return &Board{logger: logger, centre: centre, upstreams: make(map[string]*upstream)}
 }
 
-// NewBoard returns an empty board for a gateway in the data centre. Loads may be nil.
-func NewBoard(centre string, loads Loads, logger bhlog.Logger) *Board {
-	return &Board{logger: logger, centre: centre, loads: loads, upstreams: make(map[string]*upstream)}
+// Run forgets upstreams that are no longer used until ctx is done.
+func (b *Board) Run(ctx context.Context) error {
+	for bhtree.Sleep(ctx, pruneInterval) {
+		b.prune()
+	}
+	return nil
 }
 
 // Pick chooses the instance with the least load for its slots among those that
 // aren't draining or excluded, prefers the gateway's own data centre among
 // equals, and counts a request there. Resting instances are chosen last.
-func (b *Board) Pick(instances []bhwatch.Instance, excluded map[string]bool) (bhwatch.Instance, float64, bool) {
+func (b *Board) Pick(instances []bhwatch.Instance, excluded map[string]bool) (bhwatch.Instance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -73,7 +77,7 @@
 		state.inflight++
 		state.seen = now
 	}
-	return best, least, found
+	return best, found
 }
 
 // Weights of a score beside the load as a share of the slots: a resting
@@ -86,13 +90,7 @@
 
 func (b *Board) score(instance bhwatch.Instance, now time.Time) float64 {
 	state := b.state(instance.ID)
-	load := state.inflight
-	if b.loads != nil {
-		if reported, _, ok := b.loads.Load(instance.ID); ok {
-			load = max(load, reported)
-		}
-	}
-	score := float64(load)/float64(max(1, instance.Slots)) + jitterScore*rand.Float64()
+	score := float64(state.inflight)/float64(max(1, instance.Slots)) + jitterScore*rand.Float64()
 	if instance.Zone != b.centre {
 		score += centreScore
 	}
@@ -137,12 +135,12 @@
 	state.restUntil = time.Time{}
 }
 
-// Prune forgets upstreams that were not chosen for longer than age.
-func (b *Board) Prune(age time.Duration) {
+// prune forgets upstreams that were not chosen for pruneInterval.
+func (b *Board) prune() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for id, state := range b.upstreams {
-		if state.inflight == 0 && time.Since(state.seen) > age {
+		if state.inflight == 0 && time.Since(state.seen) > pruneInterval {
 			delete(b.upstreams, id)
 		}
 	}
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -75,9 +75,6 @@
 // Drain makes the gate not ready and has clients close their connections.
 func (g *Gate) Drain() { close(g.draining) }
 
-// Idle waits until no request is in flight. It reports false if ctx was done first.
-func (g *Gate) Idle(ctx context.Context) bool { return g.inflight.Wait(ctx) }
-
 // Inflight returns the number of requests in flight.
 func (g *Gate) Inflight() int { return g.inflight.Count() }
 
--- a/bhgate/metric.go
+++ b/bhgate/metric.go
@@ -11,7 +11,6 @@
 
 // metrics are a gate's counters and histograms.
 type metrics struct {
-	scope    tally.Scope
 	served   tally.Counter
 	left     tally.Counter
 	sends    tally.Counter
@@ -25,7 +24,6 @@
 		failures[code] = scope.Tagged(map[string]string{"code": code.String()}).Counter("gate_failures")
 	}
 	return metrics{
-		scope:    scope,
 		served:   scope.Counter("gate_served"),
 		left:     scope.Counter("gate_clients_left"),
 		sends:    scope.Counter("gate_sends"),
--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -24,23 +24,17 @@
 	// Engine is the address of the upstream beside a runner.
 	Engine string
 
-	Cores       int
-	Memory      int64
-	Descriptors int
+	Cores  int
+	Memory int64
 
 	// Drain is the time between SIGTERM and SIGKILL.
 	Drain time.Duration
-	// Propagation is the time within which a new policy is in force.
-	Propagation time.Duration
 	// Revocation is the age at which a policy no longer proves a key valid.
 	Revocation time.Duration
 	// QuotaSlack and QuotaOver are how many requests, and by which share, an
-	// account may go beyond its rate and burst in QuotaWindow.
-	QuotaSlack  float64
-	QuotaOver   float64
-	QuotaWindow time.Duration
-	// Cancel is the time within which an ended job sends no more items.
-	Cancel time.Duration
+	// account may go beyond its rate and burst.
+	QuotaSlack float64
+	QuotaOver  float64
 	// ResultRetention is how long results of a job stay readable.
 	ResultRetention time.Duration
 }
@@ -56,8 +50,8 @@
 		return errors.Errorf("the revocation time %s is not positive", s.Revocation)
 	case s.Drain <= 0:
 		return errors.Errorf("the drain time %s is not positive", s.Drain)
-	case s.Memory < 0 || s.Cores < 0 || s.Descriptors < 0:
-		return errors.Errorf("a resource is negative: memory %d, cores %d, descriptors %d", s.Memory, s.Cores, s.Descriptors)
+	case s.Memory < 0 || s.Cores < 0:
+		return errors.Errorf("a resource is negative: memory %d, cores %d", s.Memory, s.Cores)
 	}
 	return nil
 }
--- a/bhjob/pace.go
+++ b/bhjob/pace.go
@@ -73,7 +73,6 @@
 		r.releaseOld()
 		return
 	}
-	r.report = report
 	active, starting := r.count()
 	waiting := report.Waiting - starting
 	switch {
@@ -159,12 +158,3 @@
 	})
 	return runs
 }
-
-// Live returns how many requests other than items the engine has, running or
-// waiting, and its slots.
-func (r *Runner) Live() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	active, _ := r.count()
-	return max(0, r.report.Running+r.report.Waiting-active)
-}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -77,9 +77,8 @@
 	beats   *beats
 	want    chan struct{}
 
-	mu     sync.Mutex
-	runs   map[string]*run
-	report Report
+	mu   sync.Mutex
+	runs map[string]*run
 	// room is how many more items the engine can take.
 	room     int
 	pausedAt time.Time
--- a/bhpolicy/index.go
+++ b/bhpolicy/index.go
@@ -13,7 +13,6 @@
 	names    map[string]*Route
 	keys     map[string]*Account
 	accounts map[string]*Account
-	services map[string]*Service
 }
 
 // NewIndex returns the index of a policy.
@@ -24,7 +23,6 @@
 		names:    make(map[string]*Route),
 		keys:     make(map[string]*Account),
 		accounts: make(map[string]*Account),
-		services: make(map[string]*Service),
 	}
 	for i := range policy.Routes {
 		route := &policy.Routes[i]
@@ -42,9 +40,6 @@
 			index.keys[key] = account
 		}
 	}
-	for i := range policy.Services {
-		index.services[policy.Services[i].Name] = &policy.Services[i]
-	}
 	return index
 }
 
@@ -77,9 +72,6 @@
 // AccountNamed returns the account with the name, or nil.
 func (i *Index) AccountNamed(name string) *Account { return i.accounts[name] }
 
-// Service returns the service with the name, or nil.
-func (i *Index) Service(name string) *Service { return i.services[name] }
-
 // hostOnly returns the lower-case host without a port.
 func hostOnly(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -26,8 +26,7 @@
 
 // Tolerance is by how much a window may exceed rate and burst.
 type Tolerance struct {
-	Window time.Duration
-	// Over is a share of rate x Window + burst, Slack a number of requests.
+	// Over is a share of rate x window + burst, Slack a number of requests.
 	Over  float64
 	Slack float64
 }
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -89,7 +89,6 @@
 	roster   roster
 	polls    int
 	reached  bool
-	ready    chan struct{}
 	confirms *confirmation
 }
 
@@ -108,7 +107,6 @@
 		config: config,
 		ages:   config.Scope.Gauge("policy_proof_age_seconds"),
 		roster: newRoster(),
-		ready:  make(chan struct{}),
 	}
 }
 
@@ -140,9 +138,6 @@
 	return View{Index: w.index, Proof: w.proof, Fleet: w.fleet}
 }
 
-// Ready returns a channel that is closed once a policy and the upstreams are known.
-func (w *Watcher) Ready() <-chan struct{} { return w.ready }
-
 // Confirm waits for a policy whose read was sent after the call, and returns
 // the view with it. Calls within confirmInterval share one read.
 func (w *Watcher) Confirm(ctx context.Context) (View, error) {
@@ -248,12 +243,5 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.fleet = w.roster.update(instances, sent, w.config.Logger)
-	if w.index != nil {
-		select {
-		case <-w.ready:
-		default:
-			close(w.ready)
-		}
-	}
 	return nil
 }
