--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -16,6 +16,10 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 )
 
+// inlineWrite is the size up to which a request is written before the answer is
+// read; any socket buffer takes that much at once.
+const inlineWrite = 8 << 10
+
 // Request is one request to an upstream.
 type Request struct {
 	Method string
@@ -72,10 +76,15 @@
 func (p *Pool) exchange(c *conn, request *Request) (*Answer, error) {
 	written := make(chan error, 1)
 	data := encode(request)
-	go func() {
+	send := func() {
 		_, err := c.Write(data)
 		written <- err
-	}()
+	}
+	if len(data) <= inlineWrite {
+		send()
+	} else {
+		go send() // the upstream may answer before it reads all of it
+	}
 	response, err := readHead(c.reader, request.Method) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
 	if err != nil {
 		return nil, err
