Use one sleep, one range of a single record and one TCP user timeout

No test changed; those of the packages pass, bhquota's without and the others under the race detector.

--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -65,7 +65,7 @@
 // NewPool returns an empty pool.
 func NewPool() *Pool {
 	return &Pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout},
+		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: UserTimeout(userTimeout)},
 		idle:   make(map[string][]*conn),
 	}
 }
@@ -126,13 +126,17 @@
 	p.idle[address] = append(list, c)
 }
 
-func setUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var failure error
-	err := raw.Control(func(descriptor uintptr) {
-		failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
+// UserTimeout returns the Control of a dialer whose connections end when sent
+// bytes aren't acknowledged within the limit.
+func UserTimeout(limit time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failure error
+		err := raw.Control(func(descriptor uintptr) {
+			failure = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failure
 	}
-	return failure
 }
--- a/bhjob/ledger.go
+++ b/bhjob/ledger.go
@@ -9,6 +9,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -57,9 +58,7 @@
 
 // get returns the record with the key, or nil.
 func (l *Ledger) get(ctx context.Context, key bhplatform.Key) (*bhplatform.Record, error) {
-	page, err := l.config.Store.Scan(ctx, bhplatform.Range{
-		Table: key.Table, Partition: key.Partition, From: key.Name, To: key.Name + "\x00",
-	})
+	page, err := l.config.Store.Scan(ctx, key.Range())
 	if err != nil || len(page.Records) == 0 {
 		return nil, err
 	}
@@ -138,18 +137,9 @@
 			return decodeJob(*record)
 		}
 		err = failure
-		if !sleep(ctx, settlePause) {
+		if !bhtree.Sleep(ctx, settlePause) {
 			break
 		}
 	}
 	return nil, bhcode.Wrap(err, bhcode.PlatformUnknown, "settling a change of a job")
 }
-
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -13,6 +13,7 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -130,7 +131,7 @@
 			if err := r.claim(ctx); err != nil && ctx.Err() == nil {
 				bhlog.Problem(r.config.Logger, "claim.failed", err)
 			}
-			if !sleep(ctx, claimInterval) {
+			if !bhtree.Sleep(ctx, claimInterval) {
 				return false
 			}
 		}
--- a/bhjob/sweep.go
+++ b/bhjob/sweep.go
@@ -10,6 +10,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -24,7 +25,7 @@
 // results needn't be readable any more.
 func (r *Runner) Sweep(ctx context.Context) error {
 	for {
-		if !sleep(ctx, sweepInterval/2+rand.N(sweepInterval)) {
+		if !bhtree.Sleep(ctx, sweepInterval/2+rand.N(sweepInterval)) {
 			return nil
 		}
 		removed, err := r.config.Ledger.Sweep(ctx, r.config.Retention())
--- a/bhplatform/store.go
+++ b/bhplatform/store.go
@@ -15,6 +15,14 @@
 	Name      string
 }
 
+// Range returns the range that holds the key's record only.
+func (k Key) Range() Range {
+	return Range{Table: k.Table, Partition: k.Partition, From: k.Name, To: nameAfter(k.Name)}
+}
+
+// nameAfter returns the first name after the name.
+func nameAfter(name string) string { return name + "\x00" }
+
 // Record is one record of a Store.
 type Record struct {
 	Key     Key
@@ -111,6 +119,6 @@
 		if !page.More || len(page.Records) == 0 {
 			return all, nil
 		}
-		scan.From = page.Records[len(page.Records)-1].Key.Name + "\x00"
+		scan.From = nameAfter(page.Records[len(page.Records)-1].Key.Name)
 	}
 }
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -13,6 +13,7 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -179,7 +180,7 @@
 		// The bucket is empty; asking sooner is in vain.
 		pause = min(renewInterval, max(pause, time.Duration(s.contenders)*contenderPause))
 	}
-	if !sleep(ctx, pause) {
+	if !bhtree.Sleep(ctx, pause) {
 		return false
 	}
 	select {
@@ -192,15 +193,6 @@
 	return true
 }
 
-func sleep(ctx context.Context, wait time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(wait):
-		return true
-	}
-}
-
 // idle returns for how long the account hasn't been in use; zero if it is, or
 // if there are tokens to renew or to give back.
 func (s *syncer) idle() time.Duration {
@@ -237,9 +229,7 @@
 
 func (s *syncer) read(ctx context.Context) error {
 	sent := s.config.Clock.Now()
-	page, err := s.config.Store.Scan(ctx, bhplatform.Range{
-		Table: s.key.Table, Partition: s.key.Partition, From: s.key.Name, To: s.key.Name + "\x00",
-	})
+	page, err := s.config.Store.Scan(ctx, s.key.Range())
 	if err != nil {
 		return err
 	}
