Read events with one reader, restart children in one loop, keep panics of goroutines from ending processes

Change: bhevent.Reader serves both loops, bhtree.restart both kinds of children, and bhtree.Guard stands around those goroutines. A run that panics rests and goes on; one that panics while it lists its result is found by the next look as a claim without a run.

Tests: TestPanicOfARunEndsOnlyTheRun (without Guard the test process ends), TestReaderReturnsWholeEvents, TestTooManyRestartsStopTheTree. bhtree, bhevent, bhjob, bhgate, bhquota and bhwatch passed with the race detector.

--- a/bhevent/event.go
+++ b/bhevent/event.go
@@ -28,7 +28,7 @@
 	Data []string
 }
 
-// Parse returns the events of data, which holds whole events only.
+// Parse returns the events of data. The blank line after the last one may be missing.
 func Parse(data []byte) []Event {
 	var events []Event
 	var event Event
@@ -52,6 +52,9 @@
 			event.Data = append(event.Data, value)
 		}
 	}
+	if filled {
+		events = append(events, event)
+	}
 	return events
 }
 
--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -1,8 +1,10 @@
 package bhevent
 
 import (
+	"io"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
@@ -41,6 +43,48 @@
 	assert.Equal(t, "3", progress.Last)
 }
 
+// chunks yields its parts one read each, then its error.
+type chunks struct {
+	parts []string
+	err   error
+}
+
+// Read implements io.Reader.
+func (c *chunks) Read(buffer []byte) (int, error) {
+	if len(c.parts) == 0 {
+		return 0, c.err
+	}
+	n := copy(buffer, c.parts[0])
+	c.parts = c.parts[1:]
+	return n, nil
+}
+
+func TestReaderReturnsWholeEvents(t *testing.T) {
+	broken := errors.New("broken")
+	for _, c := range []struct {
+		err  error
+		want string
+		last string
+	}{
+		{io.EOF, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c", "3"},
+		{broken, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2"},
+	} {
+		progress := &Progress{}
+		reader := NewReader(&chunks{parts: []string{"id: 1\nda", "ta: a\n\nid: 2\ndata: b\n\nid", ": 3\ndata: c"}, err: c.err}, progress)
+		var got string
+		for {
+			events, err := reader.Next()
+			got += string(events)
+			if err != nil {
+				require.ErrorIs(t, err, c.err)
+				break
+			}
+		}
+		assert.Equal(t, c.want, got)
+		assert.Equal(t, c.last, progress.Last)
+	}
+}
+
 func FuzzWhole(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n", 5)
 	f.Add("a\r\n\r\nb\n\n", 2)
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -1,7 +1,6 @@
 package bhgate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -11,8 +10,6 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 )
 
-const streamBuffer = 8 << 10
-
 // relayStream passes on a stream of events as they come. A resumable stream
 // that breaks goes on at another upstream within the same answer.
 func (c *call) relayStream(ctx context.Context, first *attempt) error {
@@ -64,25 +61,18 @@
 // relayEvents passes on whole events until the stream ends. What follows the
 // last whole event of a broken stream is dropped.
 func (c *call) relayEvents(current *attempt, progress *bhevent.Progress) error {
-	buffer := make([]byte, streamBuffer)
-	var pending []byte
+	reader := bhevent.NewReader(current.answer.Body, progress)
 	for {
-		n, err := current.answer.Body.Read(buffer)
-		if n > 0 {
+		events, err := reader.Next()
+		if err == nil {
 			current.patience.touch()
-			pending = append(pending, buffer[:n]...)
-			whole := bhevent.Whole(pending)
-			if failure := progress.Pass(pending[:whole]); failure != nil {
-				return bhcode.Wrap(failure, bhcode.AnswerIncomplete, "stream of upstream "+current.instance.ID).WithRan(bhcode.RanYes)
-			}
-			if failure := c.writeEvents(pending[:whole]); failure != nil {
-				return failure
-			}
-			pending = append(pending[:0], pending[whole:]...)
+		}
+		if failure := c.writeEvents(events); failure != nil {
+			return failure
 		}
 		switch {
 		case err == io.EOF:
-			return c.writeEvents(bytes.Clone(pending))
+			return nil
 		case c.r.Context().Err() != nil:
 			return errClientGone
 		case err != nil:
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -14,6 +14,7 @@
 	"github.com/baobabhaven/baobabhaven/bhevent"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -32,8 +33,6 @@
 	// routeGoneAfter is how much newer than the claim a policy without the item's
 	// route must be, since the gateway that took the job may know a newer one.
 	routeGoneAfter = time.Second
-
-	itemBuffer = 8 << 10
 )
 
 // phase is what a run does.
@@ -83,7 +82,7 @@
 	u.phase, u.cancel, u.flowing, u.after = running, cancel, false, nil
 	u.runner.ending.Go(func() {
 		defer cancel()
-		err := u.send(ctx)
+		err := bhtree.Guard(ctx, u.send)
 		u.runner.mu.Lock()
 		defer u.runner.mu.Unlock()
 		u.settle(ctx, err)
@@ -180,21 +179,31 @@
 
 // list lists the result, again and again while the store is away.
 func (u *run) list(result Result) {
-	u.phase = ending
-	u.runner.ending.Go(func() {
+	u.end(func(ctx context.Context) error {
 		for {
-			listed, err := u.runner.config.Ledger.List(context.Background(), u.job, u.runner.config.Holder, result)
+			listed, err := u.runner.config.Ledger.List(ctx, u.job, u.runner.config.Holder, result)
 			if err == nil {
 				u.runner.metrics.listed(result.Status)
 				bhlog.Event(u.runner.config.Logger, "item.ended", "item", u.item.ID, "job", u.job.ID, "status", result.Status, "listed", listed)
-				break
+				return nil
 			}
-			bhlog.Problem(u.runner.config.Logger, "item.unlisted", err, "item", u.item.ID, "job", u.job.ID)
 			if bhcode.Is(err, bhcode.NotFound) {
-				break
+				return err
 			}
+			bhlog.Problem(u.runner.config.Logger, "item.unlisted", err, "item", u.item.ID, "job", u.job.ID)
 			time.Sleep(listPause)
 		}
+	})
+}
+
+// end runs the last step of the run beside the runner and forgets the run then.
+// If the step fails, the next look finds a claim without a run.
+func (u *run) end(step bhtree.Run) {
+	u.phase = ending
+	u.runner.ending.Go(func() {
+		if err := bhtree.Guard(context.Background(), step); err != nil {
+			bhlog.Problem(u.runner.config.Logger, "item.unended", err, "item", u.item.ID, "job", u.job.ID)
+		}
 		u.runner.mu.Lock()
 		defer u.runner.mu.Unlock()
 		u.forget()
@@ -211,30 +220,25 @@
 
 // giveBack gives the claim back with the output so far.
 func (u *run) giveBack(failed bool) {
-	u.phase = ending
-	saved := Checkpoint{LastEvent: u.saved.LastEvent, Text: u.output()}
-	if failed {
-		saved = Checkpoint{}
+	release := ItemRelease{ID: u.item.ID, Failed: failed}
+	if !failed {
+		release.Checkpoint = Checkpoint{LastEvent: u.saved.LastEvent, Text: u.output()}
 	}
-	u.runner.ending.Go(func() {
-		u.runner.giveBack(u.job, ItemRelease{ID: u.item.ID, Checkpoint: saved, Failed: failed})
-		u.runner.mu.Lock()
-		defer u.runner.mu.Unlock()
-		u.forget()
-	})
+	u.end(func(context.Context) error { return u.runner.giveBack(u.job, release) })
 }
 
 // giveBack returns a claim to the job's record. A claim that can't be returned
 // lapses with this runner's beats, or is found by the next look.
-func (r *Runner) giveBack(job *Job, release ItemRelease) {
+func (r *Runner) giveBack(job *Job, release ItemRelease) error {
+	var last error
 	for range changeTries {
-		err := r.config.Ledger.Release(context.Background(), job, r.config.Holder, []ItemRelease{release})
-		if err == nil {
-			return
+		if last = r.config.Ledger.Release(context.Background(), job, r.config.Holder, []ItemRelease{release}); last == nil {
+			return nil
 		}
-		bhlog.Problem(r.config.Logger, "item.unreleased", err, "item", release.ID, "job", job.ID)
+		bhlog.Problem(r.config.Logger, "item.unreleased", last, "item", release.ID, "job", job.ID)
 		time.Sleep(listPause)
 	}
+	return errors.Wrapf(last, "%d attempts to release", changeTries)
 }
 
 // send makes one request for the item and takes in its events. A nil error
@@ -293,20 +297,11 @@
 	if progress.Last != "" {
 		progress.Resume()
 	}
-	buffer := make([]byte, itemBuffer)
-	var pending []byte
+	reader := bhevent.NewReader(answer.Body, progress)
 	for {
-		n, err := answer.Body.Read(buffer)
+		events, err := reader.Next()
 		stall.Reset(stallLimit)
-		pending = append(pending, buffer[:n]...)
-		if err == io.EOF && len(pending) > 0 {
-			pending = append(pending, "\n\n"...)
-		}
-		whole := bhevent.Whole(pending)
-		if failure := u.add(pending[:whole], progress); failure != nil {
-			return failure
-		}
-		pending = append(pending[:0], pending[whole:]...)
+		u.add(events, progress.Last)
 		switch {
 		case err == io.EOF:
 			return nil
@@ -316,13 +311,10 @@
 	}
 }
 
-// add takes in whole events.
-func (u *run) add(data []byte, progress *bhevent.Progress) error {
+// add takes in whole events, of which last is the id of the last one.
+func (u *run) add(data []byte, last string) {
 	if len(data) == 0 {
-		return nil
-	}
-	if err := progress.Pass(data); err != nil {
-		return err
+		return
 	}
 	u.runner.mu.Lock()
 	defer u.runner.mu.Unlock()
@@ -333,9 +325,8 @@
 	for _, event := range bhevent.Parse(data) {
 		u.text = append(u.text, strings.Join(event.Data, "\n"))
 	}
-	u.saved.LastEvent = progress.Last
+	u.saved.LastEvent = last
 	u.flowing = true
-	return nil
 }
 
 // request returns the request for the item, or for what is missing of its output.
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -309,7 +309,9 @@
 		saved, err = r.config.Ledger.LoadCheckpoint(ctx, job, id)
 	}
 	if err != nil {
-		r.giveBack(job, ItemRelease{ID: id})
+		if failure := r.giveBack(job, ItemRelease{ID: id}); failure != nil {
+			bhlog.Problem(r.config.Logger, "item.kept", failure, "item", id, "job", job.ID)
+		}
 		return errors.Wrapf(err, "loading item %s", id)
 	}
 	claimed := &run{runner: r, job: job, item: item, saved: saved, claimed: r.config.Clock.Now(), phase: paused}
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -261,6 +261,24 @@
 	assert.Equal(t, "3", requests[1].Get(dialect.LastEvent))
 }
 
+// panickingCounter panics at its first use.
+type panickingCounter struct {
+	tally.Counter
+	once sync.Once
+}
+
+// Inc implements tally.Counter.
+func (c *panickingCounter) Inc(int64) { c.once.Do(func() { panic("broken") }) }
+
+func TestPanicOfARunEndsOnlyTheRun(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	r := newRig(t, store, "a")
+	r.runner.metrics.sends = &panickingCounter{}
+	require.NoError(t, newLedger(store).Submit(t.Context(), sampleJob("j", 1)))
+	assert.Equal(t, output("j-0", 5), r.results("j", 1)[0].Text)
+	assert.Len(t, r.engine.seen(), 2)
+}
+
 func TestItemsThatCantBeDoneAreGivenUp(t *testing.T) {
 	for status, sends := range map[int]int{http.StatusInternalServerError: 3, http.StatusUnprocessableEntity: 1} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -11,6 +11,7 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -77,7 +78,9 @@
 			return nil
 		case s := <-l.added:
 			running.Go(func() {
-				s.run(ctx)
+				if err := bhtree.Guard(ctx, s.run); err != nil {
+					bhlog.Problem(l.config.Logger, "quota.stopped", err, "account", s.account)
+				}
 				l.remove(s)
 			})
 		}
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -158,11 +158,11 @@
 }
 
 // run exchanges tokens until ctx is done or the account has been idle for long.
-func (s *syncer) run(ctx context.Context) {
+func (s *syncer) run(ctx context.Context) error {
 	for s.await(ctx) {
 		switch idle := s.idle(); {
 		case idle > idleLimit:
-			return
+			return nil
 		case idle > 0:
 			continue
 		}
@@ -171,6 +171,7 @@
 		}
 	}
 	s.giveBack()
+	return nil
 }
 
 // await waits until the next round is due. It reports false if ctx is done.
--- a/bhtree/tree.go
+++ b/bhtree/tree.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/oklog/run"
@@ -55,34 +56,19 @@
 // AddRestarted adds a child that is restarted with exponential backoff when it
 // ends early. Too many restarts within a minute stop the tree.
 func (t *Tree) AddRestarted(name string, child Run) {
-	t.Add(name, func(ctx context.Context) error { return t.restart(ctx, name, child) })
+	t.Add(name, func(ctx context.Context) error { return t.restart(ctx, name, child, restartLimit) })
 }
 
 // AddPersistent adds a child that is restarted with exponential backoff however
 // often it ends or panics. It never stops the tree.
 func (t *Tree) AddPersistent(name string, child Run) {
-	t.Add(name, func(ctx context.Context) error {
-		backoff := restartBackoff
-		for {
-			started := time.Now()
-			err := guard(ctx, child)
-			if ctx.Err() != nil {
-				return nil
-			}
-			if time.Since(started) > restartWindow {
-				backoff = restartBackoff
-			}
-			bhlog.Problem(t.logger, "child.restart", err, "child", name, "backoff", backoff)
-			if !Sleep(ctx, backoff) {
-				return nil
-			}
-			backoff = min(2*backoff, restartBackoffMax)
-		}
-	})
+	guarded := func(ctx context.Context) error { return Guard(ctx, child) }
+	t.Add(name, func(ctx context.Context) error { return t.restart(ctx, name, guarded, math.MaxInt) })
 }
 
-// guard runs a child and turns a panic into an error.
-func guard(ctx context.Context, child Run) (err error) {
+// Guard runs a child and turns a panic into an error. Parts use it in the
+// goroutines that they start, which no supervisor sees.
+func Guard(ctx context.Context, child Run) (err error) {
 	defer func() {
 		if reason := recover(); reason != nil {
 			err = errors.Errorf("panic: %v", reason)
@@ -108,18 +94,24 @@
 	return err
 }
 
-func (t *Tree) restart(ctx context.Context, name string, child Run) error {
+// restart runs the child again and again until ctx is done, or until it has
+// ended more than limit times within the restart window.
+func (t *Tree) restart(ctx context.Context, name string, child Run, limit int) error {
 	backoff := restartBackoff
 	var recent []time.Time
 	for {
+		started := time.Now()
 		err := child(ctx)
 		if ctx.Err() != nil {
 			return nil
 		}
 		recent = within(append(recent, time.Now()), restartWindow)
-		if len(recent) > restartLimit {
+		if len(recent) > limit {
 			return errors.Wrapf(err, "%s ended %d times within %s", name, len(recent), restartWindow)
 		}
+		if time.Since(started) > restartWindow {
+			backoff = restartBackoff
+		}
 		bhlog.Problem(t.logger, "child.restart", err, "child", name, "backoff", backoff)
 		if !Sleep(ctx, backoff) {
 			return nil
--- a/bhtree/persistent_test.go
+++ b/bhtree/tree_test.go
@@ -39,3 +39,16 @@
 		require.NoError(t, <-done)
 	})
 }
+
+func TestTooManyRestartsStopTheTree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tree := New(Config{Name: "test", Logger: bhlog.Nop()})
+		starts := 0
+		tree.AddRestarted("failing", func(context.Context) error {
+			starts++
+			return errors.New("failed")
+		})
+		require.ErrorContains(t, tree.Run(t.Context()), "ended 9 times")
+		assert.Equal(t, restartLimit+1, starts)
+	})
+}
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -14,6 +14,7 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -120,7 +121,9 @@
 		if w.enter() {
 			polls.Go(func() {
 				defer w.leave()
-				w.poll(ctx)
+				if err := bhtree.Guard(ctx, w.poll); err != nil {
+					bhlog.Problem(w.config.Logger, "poll.stopped", err)
+				}
 			})
 		}
 		select {
@@ -164,7 +167,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 	defer cancel()
-	waiting.err = w.readPolicy(ctx)
+	waiting.err = bhtree.Guard(ctx, w.readPolicy)
 	close(waiting.done)
 }
 
@@ -185,7 +188,7 @@
 	w.polls--
 }
 
-func (w *Watcher) poll(ctx context.Context) {
+func (w *Watcher) poll(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	sent := w.config.Clock.Now()
@@ -194,6 +197,7 @@
 		err = w.readFleet(ctx, sent)
 	}
 	w.note(err, sent)
+	return nil
 }
 
 // note logs when the platform is lost or regained.
