Let gateways ask engines' runners for room and announce requests to them

And an item left its slot only once the engine's report showed a waiting request, up to 40 ms later.

Reports asked of the engines themselves are priced as probes and lag.

Change: bhslot. Before a request goes to an engine, the gateway asks the runners of six engines, half of them in its own zone, in datagrams, waits 6 ms at most, chooses the one with most room for live requests, and announces the request to it; the runner pauses an item at once if all slots are taken. Without answers the gateway's own count decides as before. Runners listen at the engine's address and the port that all machines share for peers, so nothing has to be discovered.

Tests: bhslot (real sockets, strays, late answers), TestPickPrefersTheEngineWithMostRoom, TestSampleAvoidsWhatCantServe, TestAnnouncedRequestsGetASlotAtOnce (fails without the pause in Reserve).

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhslot"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/platform"
@@ -164,7 +165,11 @@
 		pool:    bhforward.NewPool(),
 		holder:  file.Current().Host + "." + strconv.FormatInt(time.Now().UnixNano(), 36),
 		watcher: bhwatch.New(bhwatch.Config{
-			Source:   &platform.Source{Store: store, Logger: logger},
+			Source: &platform.Source{
+				Store:    store,
+				Logger:   logger,
+				PeerPort: func() uint16 { return file.Current().Peer.Port() },
+			},
 			Clock:    clock,
 			Logger:   logger,
 			Scope:    metrics.Scope,
@@ -203,6 +208,7 @@
 	})
 	settings := h.file.Current()
 	board := bhgate.NewBoard(settings.Centre, h.logger)
+	scout := bhslot.NewScout(bhslot.ScoutConfig{Address: settings.Peer.String(), Logger: h.logger, Scope: h.metrics.Scope})
 	gate := bhgate.New(bhgate.Config{
 		Dialect:    platform.Dialect(),
 		Calls:      platform.JobCalls{},
@@ -210,6 +216,7 @@
 		Quota:      limiter,
 		Jobs:       h.ledger(),
 		Board:      board,
+		Rooms:      scout,
 		Pool:       h.pool,
 		Clock:      h.clock,
 		Logger:     h.logger,
@@ -233,6 +240,7 @@
 	tree.AddPersistent("watch", outlive(serving, h.watcher.Run))
 	tree.AddPersistent("quota", outlive(serving, limiter.Run))
 	tree.AddPersistent("board", board.Run)
+	tree.AddPersistent("scout", outlive(serving, scout.Run))
 }
 
 // outlive runs a child until the other context is done, and holds the tree
@@ -273,6 +281,13 @@
 	tree.AddPersistent("beat", runner.Beat)
 	tree.AddPersistent("look", runner.Look)
 	tree.AddPersistent("pace", runner.Pace)
+	keeper := bhslot.NewKeeper(bhslot.KeeperConfig{
+		Address: h.file.Current().Peer.String(),
+		Room:    runner.Room,
+		Reserve: runner.Reserve,
+		Logger:  h.logger,
+	})
+	tree.AddPersistent("keeper", keeper.Run)
 	tree.AddPersistent("sweep", runner.Sweep)
 	tree.Add("claims", func(ctx context.Context) error {
 		<-ctx.Done()
--- a/bhgate/board.go
+++ b/bhgate/board.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 const (
@@ -54,10 +56,47 @@
 	return nil
 }
 
+// Sample draws up to count instances at random to choose from, half of them from
+// the gateway's own data centre if it has as many. Resting instances are drawn
+// only if there are too few others.
+func (b *Board) Sample(instances []bhwatch.Instance, excluded map[string]bool, count int) []bhwatch.Instance {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	var near, far, resting []bhwatch.Instance
+	for _, instance := range instances {
+		switch {
+		case !b.usable(instance, excluded, now):
+		case now.Before(b.state(instance.ID).restUntil):
+			resting = append(resting, instance)
+		case instance.Zone == b.centre:
+			near = append(near, instance)
+		default:
+			far = append(far, instance)
+		}
+	}
+	shuffle(near)
+	kept := min(len(near), (count+1)/2)
+	rest := append(near[kept:], far...)
+	shuffle(rest)
+	sample := append(append(near[:kept:kept], rest...), resting...)
+	return sample[:min(count, len(sample))]
+}
+
+func shuffle(instances []bhwatch.Instance) {
+	rand.Shuffle(len(instances), func(i, j int) { instances[i], instances[j] = instances[j], instances[i] })
+}
+
+// usable reports whether the instance may get a request at all.
+func (b *Board) usable(instance bhwatch.Instance, excluded map[string]bool, now time.Time) bool {
+	return !instance.Draining && !excluded[instance.ID] && !now.Before(b.state(instance.ID).goneUntil)
+}
+
 // Pick chooses the instance with the least load for its slots among those that
 // aren't draining or excluded, prefers the gateway's own data centre among
-// equals, and counts a request there. Resting instances are chosen last.
-func (b *Board) Pick(instances []bhwatch.Instance, excluded map[string]bool) (bhwatch.Instance, bool) {
+// equals, and counts a request there. The load of instances without a room is
+// what this gateway sent there. Resting instances are chosen last.
+func (b *Board) Pick(instances []bhwatch.Instance, excluded map[string]bool, rooms map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -65,10 +104,10 @@
 	var least float64
 	found := false
 	for _, instance := range instances {
-		if instance.Draining || excluded[instance.ID] || now.Before(b.state(instance.ID).goneUntil) {
+		if !b.usable(instance, excluded, now) {
 			continue
 		}
-		if score := b.score(instance, now); !found || score < least {
+		if score := b.score(instance, rooms, now); !found || score < least {
 			best, least, found = instance, score, true
 		}
 	}
@@ -80,17 +119,29 @@
 	return best, found
 }
 
-// Weights of a score beside the load as a share of the slots: a resting
-// instance comes after all others, and the data centre only decides between equals.
+// Weights of a score beside the load as a share of the slots.
 const (
-	restScore   = 1000.0
+	// restScore puts an instance after all that aren't resting.
+	restScore = 1000.0
+	// silentScore puts an engine that doesn't tell its load after those with half
+	// of their slots free.
+	silentScore = 0.5
+	// staleScore puts an engine whose own runner gets no answer after full ones.
+	staleScore = 10.0
+	// itemScore counts a batch item as a part of a live request, which it leaves for.
+	itemScore = 0.1
+	// centreScore and jitterScore only decide between equals.
 	centreScore = 0.02
 	jitterScore = 0.01
 )
 
-func (b *Board) score(instance bhwatch.Instance, now time.Time) float64 {
+// roomAge is the age of an engine's load from which on the engine counts as
+// unresponsive: several times the interval at which runners ask for it.
+const roomAge = 250 * time.Millisecond
+
+func (b *Board) score(instance bhwatch.Instance, rooms map[netip.AddrPort]bhwire.Room, now time.Time) float64 {
 	state := b.state(instance.ID)
-	score := float64(state.inflight)/float64(max(1, instance.Slots)) + jitterScore*rand.Float64()
+	score := b.load(instance, rooms) + jitterScore*rand.Float64()
 	if instance.Zone != b.centre {
 		score += centreScore
 	}
@@ -100,6 +151,23 @@
 	return score
 }
 
+// load returns the load of an instance as a share of its slots.
+func (b *Board) load(instance bhwatch.Instance, rooms map[netip.AddrPort]bhwire.Room) float64 {
+	own := float64(b.state(instance.ID).inflight) / float64(max(1, instance.Slots))
+	room, ok := rooms[instance.Keeper]
+	switch {
+	case rooms == nil:
+		return own
+	case !ok || room.Slots <= 0:
+		return own + silentScore
+	}
+	told := (float64(room.Live) + itemScore*float64(room.Items)) / float64(room.Slots)
+	if room.Age > roomAge {
+		told += staleScore
+	}
+	return told
+}
+
 // Done ends a request that Pick counted.
 func (b *Board) Done(id string) {
 	b.mu.Lock()
--- a/bhgate/board_test.go
+++ b/bhgate/board_test.go
@@ -2,15 +2,18 @@
 
 import (
 	"context"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 func instances(ids ...string) []bhwatch.Instance {
@@ -25,7 +28,7 @@
 func picked(b *Board, count int, list []bhwatch.Instance) map[string]int {
 	result := make(map[string]int)
 	for range count {
-		if instance, ok := b.Pick(list, nil); ok {
+		if instance, ok := b.Pick(list, nil, nil); ok {
 			result[instance.ID]++
 		}
 	}
@@ -46,7 +49,7 @@
 	list[0].Zone = "there"
 	board := NewBoard("here", bhlog.Nop())
 	for range 20 {
-		instance, _ := board.Pick(list, nil)
+		instance, _ := board.Pick(list, nil, nil)
 		assert.Equal(t, "near", instance.ID)
 		board.Done("near")
 	}
@@ -60,7 +63,7 @@
 		rested := func() time.Duration {
 			start := time.Now()
 			for {
-				instance, _ := board.Pick(instances("a", "b"), nil)
+				instance, _ := board.Pick(instances("a", "b"), nil, nil)
 				board.Done(instance.ID)
 				if instance.ID == "a" {
 					return time.Since(start)
@@ -113,3 +116,59 @@
 		assert.NotContains(t, board.upstreams, "idle")
 	})
 }
+
+// keeperOf returns the address of a made-up keeper.
+func keeperOf(number int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 1)
+}
+
+func TestPickPrefersTheEngineWithMostRoom(t *testing.T) {
+	list := instances("full", "free", "silent", "stuck", "unlisted")
+	for i := range list {
+		list[i].Keeper = keeperOf(i)
+	}
+	rooms := map[netip.AddrPort]bhwire.Room{
+		keeperOf(0): {Slots: 8, Live: 8},
+		keeperOf(1): {Slots: 8, Live: 2, Items: 6},
+		keeperOf(3): {Slots: 8, Age: time.Second},
+		keeperOf(4): {Live: 0},
+	}
+	board := NewBoard("here", bhlog.Nop())
+	excluded := make(map[string]bool)
+	var order []string
+	for range list {
+		instance, ok := board.Pick(list, excluded, rooms)
+		require.True(t, ok)
+		excluded[instance.ID] = true
+		order = append(order, instance.ID)
+	}
+	assert.Equal(t, "free", order[0])
+	assert.ElementsMatch(t, []string{"silent", "unlisted"}, order[1:3])
+	assert.Equal(t, []string{"full", "stuck"}, order[3:])
+}
+
+func TestSampleAvoidsWhatCantServe(t *testing.T) {
+	list := instances("near1", "near2", "near3", "near4", "far1", "far2", "far3", "far4", "draining", "resting", "excluded")
+	for i := 4; i < 8; i++ {
+		list[i].Zone = "there"
+	}
+	list[8].Draining = true
+	board := NewBoard("here", bhlog.Nop())
+	board.Failed("resting", errors.New("reset"))
+	excluded := map[string]bool{"excluded": true}
+	drawn := make(map[string]int)
+	for range 400 {
+		sample := board.Sample(list, excluded, 4)
+		require.Len(t, sample, 4)
+		near := 0
+		for _, instance := range sample {
+			drawn[instance.ID]++
+			if instance.Zone == "here" {
+				near++
+			}
+		}
+		assert.GreaterOrEqual(t, near, 2)
+	}
+	assert.Len(t, drawn, 8, "each that can serve, and no other: %v", drawn)
+	assert.Len(t, board.Sample(list, excluded, 20), 9, "resting ones are the last resort")
+}
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -58,7 +58,7 @@
 		if err := c.reconsider(&service); err != nil {
 			return c.giveUp(ctx, last, err)
 		}
-		instance, ok := c.gate.config.Board.Pick(c.view.Fleet[service], excluded)
+		instance, ok := c.choose(ctx, service, excluded)
 		if !ok {
 			break
 		}
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -51,10 +51,13 @@
 	Quota    Quota
 	Jobs     Jobs
 	Board    *Board
-	Pool     *bhforward.Pool
-	Clock    bhclock.Clock
-	Logger   bhlog.Logger
-	Scope    tally.Scope
+	// Rooms tells how full engines are; nil has the board count only what this
+	// gateway sends.
+	Rooms  Rooms
+	Pool   *bhforward.Pool
+	Clock  bhclock.Clock
+	Logger bhlog.Logger
+	Scope  tally.Scope
 	// Revocation returns the age at which a policy no longer proves a key valid.
 	Revocation func() time.Duration
 }
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -39,7 +39,7 @@
 	if err := c.reconsider(&service); err != nil {
 		return false, err
 	}
-	instance, ok := c.gate.config.Board.Pick(c.view.Fleet[service], excluded)
+	instance, ok := c.choose(ctx, service, excluded)
 	if !ok {
 		return false, bhcode.New(bhcode.NoUpstream, "service %q has no upstream left", service).WithRan(bhcode.RanYes)
 	}
--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -3,6 +3,7 @@
 package bhhost
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,8 +17,9 @@
 	// Front and Ready are the addresses for clients and for the balancer.
 	Front string
 	Ready string
-	// Peer is the address for other processes of the fleet, Admin serves metrics.
-	Peer  string
+	// Peer is the address for datagrams of other processes of the fleet, at the
+	// same port on all hosts. Admin serves metrics.
+	Peer  netip.AddrPort
 	Admin string
 	// Platform is the address of the platform's store.
 	Platform string
--- a/bhjob/pace.go
+++ b/bhjob/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 const (
@@ -14,9 +15,6 @@
 	// finds all slots taken waits about that long for one.
 	reportInterval = 40 * time.Millisecond
 	reportTimeout  = 500 * time.Millisecond
-	// pauseInterval is the least time between pauses, so that the engine's
-	// report shows the effect of the last one.
-	pauseInterval = 50 * time.Millisecond
 	// calmInterval is how long after a pause nothing is started.
 	calmInterval = 150 * time.Millisecond
 	// pausedLimit is how long a paused item is kept for this engine before
@@ -36,6 +34,7 @@
 			return nil
 		case <-ticker.C:
 		}
+		sent := r.config.Clock.Now()
 		report, err := r.readReport(ctx)
 		if (err == nil) != reached && ctx.Err() == nil {
 			reached = err == nil
@@ -45,7 +44,7 @@
 				bhlog.Problem(r.config.Logger, "engine.lost", err, "address", r.config.Address())
 			}
 		}
-		r.pace(report, err == nil)
+		r.pace(report, err == nil, sent)
 	}
 }
 
@@ -55,12 +54,13 @@
 	return r.config.Engine.Report(ctx, r.config.Address())
 }
 
-// pace takes in one report and acts on it.
-func (r *Runner) pace(report Report, ok bool) {
+// pace takes in one report, asked for at the time sent, and acts on it.
+func (r *Runner) pace(report Report, ok bool, sent time.Duration) {
 	instance, listed := r.instance()
 	fresh := r.fresh()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.slots = 0
 	if listed && instance.Draining {
 		r.room = 0
 		for _, run := range r.runs {
@@ -68,21 +68,25 @@
 		}
 		return
 	}
+	if listed {
+		r.slots = instance.Slots
+	}
 	if !ok || !listed {
 		r.room = 0
 		r.releaseOld()
 		return
 	}
 	active, starting := r.count()
+	r.load.take(report, active, sent)
 	waiting := report.Waiting - starting
 	switch {
 	case waiting > 0 && active > 0:
 		r.room = 0
-		r.pauseSome(min(waiting, active), report)
+		r.pauseSome(min(waiting, active))
 	case report.Waiting > 0 || time.Since(r.pausedAt) < calmInterval || !fresh || r.closed:
 		r.room = 0
 	default:
-		r.room = max(0, instance.Slots-max(report.Running, active))
+		r.room = max(0, instance.Slots-max(report.Running, active)-r.load.reserved())
 		r.resumeSome()
 	}
 	r.releaseOld()
@@ -95,11 +99,33 @@
 	}
 }
 
+// Room returns what the engine has left for live requests.
+func (r *Runner) Room() bhwire.Room {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	active, _ := r.count()
+	return bhwire.Room{Slots: r.slots, Live: r.load.live(), Items: active, Age: r.config.Clock.Now() - r.load.sent}
+}
+
+// Reserve takes in that a live request is on its way to the engine, and pauses
+// an item at once if all slots are taken.
+func (r *Runner) Reserve() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.load.reserve(r.config.Clock.Now())
+	active, _ := r.count()
+	over := r.load.live() + active - r.slots
+	r.room = max(0, min(r.room, -over))
+	if over > 0 && active > 0 {
+		r.pauseSome(min(over, active))
+	}
+}
+
 // count returns how many runs are at the engine, and how many of them wait for
 // their first event.
 func (r *Runner) count() (active, starting int) {
 	for _, run := range r.runs {
-		if run.phase == running {
+		if run.atEngine() {
 			active++
 			if !run.flowing {
 				starting++
@@ -110,15 +136,16 @@
 }
 
 // pauseSome stops the runs that are due last.
-func (r *Runner) pauseSome(count int, report Report) {
-	if time.Since(r.pausedAt) < pauseInterval {
-		return
-	}
+func (r *Runner) pauseSome(count int) {
 	r.pausedAt = time.Now()
-	runs := r.inPhase(running)
-	slices.Reverse(runs)
-	for _, run := range runs[:min(count, len(runs))] {
-		run.pause(report)
+	for _, run := range slices.Backward(r.inPhase(running)) {
+		if count == 0 {
+			return
+		}
+		if run.atEngine() {
+			run.pause(r.load)
+			count--
+		}
 	}
 }
 
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -64,10 +64,12 @@
 	item    Item
 	claimed time.Duration
 
-	phase     phase
-	saved     Checkpoint
-	text      []string
-	flowing   bool
+	phase   phase
+	saved   Checkpoint
+	text    []string
+	flowing bool
+	// stopping reports that the request at the engine is being cancelled.
+	stopping  bool
 	pausedAt  time.Time
 	notBefore time.Time
 	breaks    int
@@ -79,7 +81,7 @@
 // start sends the item, or the rest of it, to the engine.
 func (u *run) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	u.phase, u.cancel, u.flowing, u.after = running, cancel, false, nil
+	u.phase, u.cancel, u.flowing, u.stopping, u.after = running, cancel, false, false, nil
 	u.runner.ending.Go(func() {
 		defer cancel()
 		err := bhtree.Guard(ctx, u.send)
@@ -89,11 +91,15 @@
 	})
 }
 
+// atEngine reports whether the engine has a request of the run that goes on.
+func (u *run) atEngine() bool { return u.phase == running && !u.stopping }
+
 // pause stops the request and keeps the claim.
-func (u *run) pause(report Report) {
+func (u *run) pause(seen load) {
 	bhlog.Event(u.runner.config.Logger, "item.paused", "item", u.item.ID, "job", u.job.ID, "after", u.saved.LastEvent,
-		"running", report.Running, "waiting", report.Waiting)
+		"running", seen.report.Running, "waiting", seen.report.Waiting, "announced", seen.reserved(), "age", u.runner.config.Clock.Now()-seen.sent)
 	u.runner.metrics.paused.Inc(1)
+	u.stopping = true
 	u.cancel()
 }
 
@@ -118,6 +124,7 @@
 		after()
 	case running:
 		u.after = after
+		u.stopping = true
 		u.cancel()
 	}
 }
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -80,6 +80,9 @@
 
 	mu   sync.Mutex
 	runs map[string]*run
+	// slots is how many requests the engine runs at once; zero if it takes none.
+	slots int
+	load  load
 	// room is how many more items the engine can take.
 	room     int
 	pausedAt time.Time
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -249,6 +249,25 @@
 	assert.GreaterOrEqual(t, resumed, 2, "items go on from where they were")
 }
 
+func TestAnnouncedRequestsGetASlotAtOnce(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	r := newRig(t, store, "a")
+	r.engine.set(func(e *engine) { e.gap, e.events = 20*time.Millisecond, 100 })
+	require.NoError(t, newLedger(store).Submit(t.Context(), sampleJob("j", 3)))
+	require.Eventually(t, func() bool { return len(r.engine.seen()) == 2 }, 30*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool {
+		room := r.runner.Room()
+		return room.Slots == 2 && room.Items == 2 && room.Live == 0
+	}, 30*time.Second, time.Millisecond)
+	r.runner.Reserve()
+	room := r.runner.Room()
+	assert.Equal(t, 1, room.Items, "an item leaves before the engine's next report")
+	assert.Equal(t, 1, room.Live)
+	for _, result := range r.results("j", 3) {
+		assert.Equal(t, output(result.ID, 100), result.Text)
+	}
+}
+
 func TestBrokenStreamsGoOn(t *testing.T) {
 	store := bhstand.NewStore(bhstand.StoreConfig{})
 	r := newRig(t, store, "a")
--- a/bhpolicy/index.go
+++ b/bhpolicy/index.go
@@ -13,6 +13,7 @@
 	names    map[string]*Route
 	keys     map[string]*Account
 	accounts map[string]*Account
+	engines  map[string]bool
 }
 
 // NewIndex returns the index of a policy.
@@ -23,6 +24,10 @@
 		names:    make(map[string]*Route),
 		keys:     make(map[string]*Account),
 		accounts: make(map[string]*Account),
+		engines:  make(map[string]bool),
+	}
+	for _, service := range policy.Services {
+		index.engines[service.Name] = service.Slots > 0
 	}
 	for i := range policy.Routes {
 		route := &policy.Routes[i]
@@ -58,6 +63,9 @@
 // RouteNamed returns the route with the name, or nil.
 func (i *Index) RouteNamed(name string) *Route { return i.names[name] }
 
+// Engine reports whether the service's upstreams are engines.
+func (i *Index) Engine(service string) bool { return i.engines[service] }
+
 // Keyed reports whether requests need keys at all.
 func (i *Index) Keyed() bool { return len(i.Policy.Accounts) > 0 }
 
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -47,6 +48,9 @@
 	// Born is when the process started, in milliseconds since 1970; it tells a
 	// restart under the same ID.
 	Born int64
+	// Keeper is where the runner beside an engine tells the engine's load; not
+	// valid if there is none.
+	Keeper netip.AddrPort
 }
 
 // Source reads the declared state from the platform.
--- a/bhwire/codec.go
+++ b/bhwire/codec.go
@@ -42,6 +42,9 @@
 	KindVerdict,
 	KindVote,
 	KindWork,
+	KindAsk,
+	KindRoom,
+	KindReserve,
 }
 
 var (
--- a/bhwire/link.go
+++ b/bhwire/link.go
@@ -39,6 +39,7 @@
 
 type Kind string
 
+const KindAsk Kind = "ask"
 const KindBeat Kind = "beat"
 const KindCancel Kind = "cancel"
 const KindConfig Kind = "config"
@@ -54,7 +55,9 @@
 const KindOrder Kind = "order"
 const KindProbe Kind = "probe"
 const KindProof Kind = "proof"
+const KindReserve Kind = "reserve"
 const KindRevoke Kind = "revoke"
+const KindRoom Kind = "room"
 const KindSubmit Kind = "submit"
 const KindTaken Kind = "taken"
 const KindVerdict Kind = "verdict"
