Share one socket for datagrams between processes; list gateways in the store

Change: bhpeer.Socket asks and answers any kind of frame; bhjob.Runner and bhgate.PeerRooms use it, bhslot is gone. bhpeer.Directory knows the gateways by records in the store and gives each key an order of them. Nothing uses the directory yet.

Tests: those of bhslot over the socket; directory agreement, passing over and removal in paused time.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -22,10 +22,10 @@
 	"github.com/baobabhaven/baobabhaven/bhjob"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
+	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
 	"github.com/baobabhaven/baobabhaven/bhserve"
-	"github.com/baobabhaven/baobabhaven/bhslot"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/platform"
@@ -208,7 +208,7 @@
 	})
 	settings := h.file.Current()
 	board := bhgate.NewBoard(settings.Centre, h.logger)
-	scout := bhslot.NewScout(bhslot.ScoutConfig{Address: settings.Peer.String(), Logger: h.logger, Scope: h.metrics.Scope})
+	socket := h.socket()
 	gate := bhgate.New(bhgate.Config{
 		Dialect:    platform.Dialect(),
 		Calls:      platform.JobCalls{},
@@ -216,7 +216,7 @@
 		Quota:      limiter,
 		Jobs:       h.ledger(),
 		Board:      board,
-		Rooms:      scout,
+		Rooms:      &bhgate.PeerRooms{Socket: socket, Logger: h.logger},
 		Pool:       h.pool,
 		Clock:      h.clock,
 		Logger:     h.logger,
@@ -240,7 +240,7 @@
 	tree.AddPersistent("watch", outlive(serving, h.watcher.Run))
 	tree.AddPersistent("quota", outlive(serving, limiter.Run))
 	tree.AddPersistent("board", board.Run)
-	tree.AddPersistent("scout", outlive(serving, scout.Run))
+	tree.AddPersistent("peers", outlive(serving, socket.Run))
 }
 
 // outlive runs a child until the other context is done, and holds the tree
@@ -257,6 +257,11 @@
 
 func (h *hosted) index() *bhpolicy.Index { return h.watcher.View().Index }
 
+// socket returns the socket to the fleet's other processes.
+func (h *hosted) socket() *bhpeer.Socket {
+	return bhpeer.NewSocket(bhpeer.Config{Address: h.file.Current().Peer, Logger: h.logger, Scope: h.metrics.Scope})
+}
+
 func (h *hosted) ledger() *bhjob.Ledger {
 	return bhjob.NewLedger(bhjob.LedgerConfig{Store: h.store, Objects: h.store, Logger: h.logger})
 }
@@ -281,13 +286,9 @@
 	tree.AddPersistent("beat", runner.Beat)
 	tree.AddPersistent("look", runner.Look)
 	tree.AddPersistent("pace", runner.Pace)
-	keeper := bhslot.NewKeeper(bhslot.KeeperConfig{
-		Address: h.file.Current().Peer.String(),
-		Room:    runner.Room,
-		Reserve: runner.Reserve,
-		Logger:  h.logger,
-	})
-	tree.AddPersistent("keeper", keeper.Run)
+	socket := h.socket()
+	runner.Serve(socket)
+	tree.AddPersistent("peers", socket.Run)
 	tree.AddPersistent("sweep", runner.Sweep)
 	tree.Add("claims", func(ctx context.Context) error {
 		<-ctx.Done()
--- a/bhgate/choose.go
+++ b/bhgate/choose.go
@@ -5,21 +5,12 @@
 	"net/netip"
 
 	"github.com/baobabhaven/baobabhaven/bhwatch"
-	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 // askedEngines is how many engines are asked for their load before a request is
 // sent: with six, all are full only if nine in ten of the fleet are.
 const askedEngines = 6
 
-// Rooms tells how full engines are.
-type Rooms interface {
-	// Ask returns what the keepers of engines answer within some milliseconds.
-	Ask(ctx context.Context, keepers []netip.AddrPort) map[netip.AddrPort]bhwire.Room
-	// Reserve announces a request, so that its engine makes room for it.
-	Reserve(keeper netip.AddrPort)
-}
-
 // choose picks an upstream of the service and counts a request there.
 func (c *call) choose(ctx context.Context, service string, excluded map[string]bool) (bhwatch.Instance, bool) {
 	board, rooms := c.gate.config.Board, c.gate.config.Rooms
--- a/bhjob/pace.go
+++ b/bhjob/pace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -62,7 +63,7 @@
 	defer r.mu.Unlock()
 	r.slots = 0
 	if listed && instance.Draining {
-		r.room = 0
+		r.free = 0
 		for _, run := range r.runs {
 			run.release("the engine drains")
 		}
@@ -72,7 +73,7 @@
 		r.slots = instance.Slots
 	}
 	if !ok || !listed {
-		r.room = 0
+		r.free = 0
 		r.releaseOld()
 		return
 	}
@@ -81,17 +82,17 @@
 	waiting := report.Waiting - starting
 	switch {
 	case waiting > 0 && active > 0:
-		r.room = 0
+		r.free = 0
 		r.pauseSome(min(waiting, active))
 	case report.Waiting > 0 || time.Since(r.pausedAt) < calmInterval || !fresh || r.closed:
-		r.room = 0
+		r.free = 0
 	default:
-		r.room = max(0, instance.Slots-max(report.Running, active)-r.load.reserved())
+		r.free = max(0, instance.Slots-max(report.Running, active)-r.load.reserved())
 		r.resumeSome()
 	}
 	r.releaseOld()
 	r.metrics.update(active, len(r.runs), report)
-	if r.room > 0 {
+	if r.free > 0 {
 		select {
 		case r.want <- struct{}{}:
 		default:
@@ -99,23 +100,33 @@
 	}
 }
 
-// Room returns what the engine has left for live requests.
-func (r *Runner) Room() bhwire.Room {
+// Serve has the runner tell gateways its engine's room through the socket, and
+// take in the requests that they announce. It is called before the socket runs.
+func (r *Runner) Serve(socket *bhpeer.Socket) {
+	socket.Handle(bhwire.KindAsk, func(bhwire.Frame) (bhwire.Kind, any) { return bhwire.KindRoom, r.room() })
+	socket.Handle(bhwire.KindReserve, func(bhwire.Frame) (bhwire.Kind, any) {
+		r.reserve()
+		return "", nil
+	})
+}
+
+// room returns what the engine has left for live requests.
+func (r *Runner) room() bhwire.Room {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	active, _ := r.count()
 	return bhwire.Room{Slots: r.slots, Live: r.load.live(), Items: active, Age: r.config.Clock.Now() - r.load.sent}
 }
 
-// Reserve takes in that a live request is on its way to the engine, and pauses
+// reserve takes in that a live request is on its way to the engine, and pauses
 // an item at once if all slots are taken.
-func (r *Runner) Reserve() {
+func (r *Runner) reserve() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.load.reserve(r.config.Clock.Now())
 	active, _ := r.count()
 	over := r.load.live() + active - r.slots
-	r.room = max(0, min(r.room, -over))
+	r.free = max(0, min(r.free, -over))
 	if over > 0 && active > 0 {
 		r.pauseSome(min(over, active))
 	}
@@ -152,13 +163,13 @@
 // resumeSome goes on with paused runs while there is room.
 func (r *Runner) resumeSome() {
 	for _, run := range r.inPhase(paused) {
-		if r.room == 0 {
+		if r.free == 0 {
 			return
 		}
 		if time.Now().Before(run.notBefore) {
 			continue
 		}
-		r.room--
+		r.free--
 		run.start()
 	}
 }
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -83,8 +83,8 @@
 	// slots is how many requests the engine runs at once; zero if it takes none.
 	slots int
 	load  load
-	// room is how many more items the engine can take.
-	room     int
+	// free is how many more items the engine can take.
+	free     int
 	pausedAt time.Time
 	jobs     []*Job
 	looked   time.Duration
@@ -184,8 +184,8 @@
 
 // claim claims items of one of the most urgent jobs.
 func (r *Runner) claim(ctx context.Context) error {
-	room := r.claimable()
-	if room == 0 {
+	free := r.claimable()
+	if free == 0 {
 		return nil
 	}
 	job := r.choose()
@@ -195,7 +195,7 @@
 	if err := r.beats.ensure(ctx); err != nil {
 		return err
 	}
-	changed, ids, err := r.config.Ledger.Claim(ctx, job, r.config.Holder, min(room, claimBatch), r.lost)
+	changed, ids, err := r.config.Ledger.Claim(ctx, job, r.config.Holder, min(free, claimBatch), r.lost)
 	if err != nil {
 		return err
 	}
@@ -226,7 +226,7 @@
 			idle++
 		}
 	}
-	return max(0, r.room-idle)
+	return max(0, r.free-idle)
 }
 
 // choose returns one of the most urgent jobs with items to claim, or nil.
@@ -323,8 +323,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id] = claimed
-	if r.room > 0 {
-		r.room--
+	if r.free > 0 {
+		r.free--
 		claimed.start()
 	}
 	return nil
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -256,11 +256,11 @@
 	require.NoError(t, newLedger(store).Submit(t.Context(), sampleJob("j", 3)))
 	require.Eventually(t, func() bool { return len(r.engine.seen()) == 2 }, 30*time.Second, time.Millisecond)
 	require.Eventually(t, func() bool {
-		room := r.runner.Room()
+		room := r.runner.room()
 		return room.Slots == 2 && room.Items == 2 && room.Live == 0
 	}, 30*time.Second, time.Millisecond)
-	r.runner.Reserve()
-	room := r.runner.Room()
+	r.runner.reserve()
+	room := r.runner.room()
 	assert.Equal(t, 1, room.Items, "an item leaves before the engine's next report")
 	assert.Equal(t, 1, room.Live)
 	for _, result := range r.results("j", 3) {
