Send clients of a gateway that can't prove keys to another one at once

Change: that refusal says 50 ms, and answers of a gateway that isn't ready close the connection. The log says when the head of an answer went to the client (first).

Tests: TestKeysNeedAFreshProof asks for the closed connection and the wait; failed before.

--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -21,8 +21,9 @@
 	// confirmTimeout bounds the wait for a newer policy before a refusal.
 	confirmTimeout = 900 * time.Millisecond
 	// staleRetry, fullRetry and emptyRetry are when to come back after a
-	// refusal for lack of a fresh policy, of room, and of upstreams.
-	staleRetry = 500 * time.Millisecond
+	// refusal for lack of a fresh policy, of room, and of upstreams. Another
+	// gateway may have a fresh policy right now.
+	staleRetry = 50 * time.Millisecond
 	fullRetry  = 150 * time.Millisecond
 	emptyRetry = 300 * time.Millisecond
 	// maxBody bounds bodies where the policy sets no limit.
@@ -52,8 +53,10 @@
 	upstream string
 	// job names the job that a call is about.
 	job string
-	// begun reports that the head of an answer was sent to the client.
+	// begun reports that the head of an answer was sent to the client, first is
+	// when, counted from the request's arrival.
 	begun  bool
+	first  time.Duration
 	status int
 	bytes  int64
 }
@@ -228,9 +231,9 @@
 	}
 }
 
-// closing has the client close its connection if the gateway leaves.
+// closing has the client go to another gateway if this one isn't ready.
 func (c *call) closing(header http.Header) {
-	if c.gate.leaving() {
+	if c.gate.unready() != "" {
 		header.Set("Connection", "close")
 	}
 }
@@ -261,7 +264,7 @@
 	}
 	pairs := []any{"request", c.id, "job", c.job, "route", route, "account", account, "policy", version,
 		"proof_age", c.gate.config.Clock.Now() - c.view.Proof, "sends", c.sends, "upstream", c.upstream,
-		"status", c.status, "bytes", c.bytes, "took", time.Since(c.arrived)}
+		"status", c.status, "bytes", c.bytes, "first", c.first, "took", time.Since(c.arrived)}
 	if err != nil {
 		bhlog.Problem(c.gate.config.Logger, event, err, pairs...)
 		return
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -306,10 +306,13 @@
 	}
 	c.closing(header)
 	c.status = answer.Status
-	c.begun = true
+	c.begin()
 	c.w.WriteHeader(answer.Status)
 }
 
+// begin notes that the head of an answer goes to the client.
+func (c *call) begin() { c.begun, c.first = true, time.Since(c.arrived) }
+
 func (c *call) write(data []byte) error {
 	n, err := c.w.Write(data)
 	c.bytes += int64(n)
--- a/bhgate/gate_test.go
+++ b/bhgate/gate_test.go
@@ -104,8 +104,14 @@
 		u := newUpstream(t, ok)
 		r := newRig(t, bhpolicy.Route{}, u)
 		r.policies.set(func(p *testPolicies) { p.view.Proof = r.clock.Now() - c.age })
-		assert.Equal(t, c.status, r.status(r.request("/a/x")), "%s", c.age)
+		response, _, err := r.do(r.request("/a/x"))
+		require.NoError(t, err)
+		assert.Equal(t, c.status, response.StatusCode, "%s", c.age)
 		assert.Equal(t, c.status == http.StatusOK, u.count() == 1, "%s", c.age)
+		assert.Equal(t, c.ready != http.StatusOK, response.Close, "clients go to another gateway after %s", c.age)
+		if c.status != http.StatusOK {
+			assert.Equal(t, "0.050", response.Header.Get("Retry-After"), "others may serve at once")
+		}
 		recorder := httptest.NewRecorder()
 		r.gate.Ready(recorder, nil)
 		assert.Equal(t, c.ready, recorder.Code, "%s", c.age)
--- a/bhgate/jobs.go
+++ b/bhgate/jobs.go
@@ -137,7 +137,7 @@
 	if bhcode.Is(err, bhcode.NotFound) {
 		return err
 	}
-	return bhcode.Wrap(err, bhcode.PlatformUnavailable, "the job can't be looked up now").WithRetryAfter(staleRetry)
+	return bhcode.Wrap(err, bhcode.PlatformUnavailable, "the job can't be looked up now").WithRetryAfter(emptyRetry)
 }
 
 // reply gives an answer of the gateway's own.
@@ -148,7 +148,8 @@
 		header.Set(c.gate.config.Dialect.RequestID, c.id)
 	}
 	c.closing(header)
-	c.status, c.begun = status, true
+	c.status = status
+	c.begin()
 	c.w.WriteHeader(status)
 	return c.write(body)
 }
