Take over what earlier starts of a host held at once

Change: each host has one record of its runner, which names the present start; an earlier start is dead as soon as the record names another, and on the own host in any case. A holder that isn't known yet has the records read at once, so a new runner's first claim isn't taken for a dead one's. A gateway that writes a quota drops the holdings of earlier starts of its host; what they may have used stays used.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -7,7 +7,6 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -163,7 +162,7 @@
 		logger:  logger,
 		clock:   clock,
 		pool:    bhforward.NewPool(),
-		holder:  file.Current().Host + "." + strconv.FormatInt(time.Now().UnixNano(), 36),
+		holder:  bhhost.NewHolder(file.Current().Host),
 		watcher: bhwatch.New(bhwatch.Config{
 			Source: &platform.Source{
 				Store:    store,
--- a/bhjob/beat.go
+++ b/bhjob/beat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhclock"
+	"github.com/baobabhaven/baobabhaven/bhhost"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 )
@@ -22,27 +23,28 @@
 	forgetAfter = time.Minute
 )
 
-// seenBeat is the last change of another runner's record, by our own clock.
+// seenBeat is the last change of another host's record, by our own clock.
 type seenBeat struct {
+	holder  string
 	version bhplatform.Version
 	since   time.Duration
 }
 
-// beats shows that this runner lives, and sees which others do. No clocks of
-// hosts are compared: a record that stands still for beatTimeout of the
-// observer's clock, while the observer reads the store, is a dead runner's.
+// beats shows that this runner lives, and sees which others do. Each host has
+// one record, which names its runner's present start: earlier ones are dead. No
+// clocks of hosts are compared: a record that stands still for beatTimeout of
+// the observer's clock, while the observer reads the store, is a dead runner's.
 type beats struct {
 	holder string
 	store  bhplatform.Store
 	clock  bhclock.Clock
 	logger bhlog.Logger
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// seen holds the records by host.
 	seen     map[string]seenBeat
 	observed time.Duration
 	beaten   time.Duration
-	// steady is since when reads have followed each other without a gap.
-	steady time.Duration
 }
 
 func newBeats(holder string, store bhplatform.Store, clock bhclock.Clock, logger bhlog.Logger) *beats {
@@ -50,7 +52,7 @@
 }
 
 func beatKey(holder string) bhplatform.Key {
-	return bhplatform.Key{Table: runnerTable, Name: holder}
+	return bhplatform.Key{Table: runnerTable, Name: bhhost.HostOf(holder)}
 }
 
 // run beats until ctx is done. It goes on without claims, since observers would
@@ -84,7 +86,7 @@
 func (b *beats) beat(ctx context.Context) error {
 	sent := b.clock.Now()
 	_, err := b.store.Apply(ctx, bhplatform.Transaction{
-		Puts:    []bhplatform.Put{{Key: beatKey(b.holder), Value: []byte{1}}},
+		Puts:    []bhplatform.Put{{Key: beatKey(b.holder), Value: []byte(b.holder)}},
 		Deletes: b.expired(),
 	})
 	if err != nil {
@@ -103,13 +105,11 @@
 	return err
 }
 
-// observe reads the records of all runners if the last look is long enough ago.
-func (b *beats) observe(ctx context.Context) error {
+// observe reads the records of all runners if the last look is long enough ago,
+// or if one of the holders isn't known.
+func (b *beats) observe(ctx context.Context, holders map[string]bool) error {
 	sent := b.clock.Now()
-	b.mu.Lock()
-	due := sent-b.observed >= observeInterval
-	b.mu.Unlock()
-	if !due {
+	if !b.due(sent, holders) {
 		return nil
 	}
 	page, err := bhplatform.ScanAll(ctx, b.store, bhplatform.Range{Table: runnerTable})
@@ -119,37 +119,51 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if sent-b.observed > beatTimeout {
-		// Others may not have reached the store either.
-		b.steady = sent
-		clear(b.seen)
+		clear(b.seen) // others may not have reached the store either
 	}
 	b.observed = sent
 	listed := make(map[string]bool, len(page.Records))
 	for _, record := range page.Records {
-		listed[record.Key.Name] = true
-		if last, ok := b.seen[record.Key.Name]; !ok || last.version != record.Version {
-			b.seen[record.Key.Name] = seenBeat{version: record.Version, since: sent}
+		host := record.Key.Name
+		listed[host] = true
+		if last, ok := b.seen[host]; !ok || last.version != record.Version {
+			b.seen[host] = seenBeat{holder: string(record.Value), version: record.Version, since: sent}
 		}
 	}
-	for holder := range b.seen {
-		if !listed[holder] {
-			delete(b.seen, holder)
+	for host := range b.seen {
+		if !listed[host] {
+			delete(b.seen, host)
 		}
 	}
 	return nil
 }
 
+func (b *beats) due(now time.Duration, holders map[string]bool) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for holder := range holders {
+		if b.seen[bhhost.HostOf(holder)].holder != holder {
+			return true
+		}
+	}
+	return now-b.observed >= observeInterval
+}
+
 // dead reports whether a holder's claims may be taken over.
 func (b *beats) dead(holder string) bool {
+	host := bhhost.HostOf(holder)
+	if host == bhhost.HostOf(b.holder) {
+		return holder != b.holder
+	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.observed == 0 || b.clock.Now()-b.observed > 2*observeInterval {
 		return false
 	}
-	last, ok := b.seen[holder]
-	if !ok {
-		// It has removed its record, or never wrote one.
-		return b.observed-b.steady > observeInterval
+	last, ok := b.seen[host]
+	if !ok || last.holder != holder {
+		// It has removed its record, or another start of the runner has replaced it.
+		return true
 	}
 	return b.observed-last.since >= beatTimeout
 }
@@ -159,9 +173,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var keys []bhplatform.Key
-	for holder, last := range b.seen {
-		if holder != b.holder && b.observed-last.since >= forgetAfter {
-			keys = append(keys, beatKey(holder))
+	for host, last := range b.seen {
+		if last.holder != b.holder && b.observed-last.since >= forgetAfter {
+			keys = append(keys, bhplatform.Key{Table: runnerTable, Name: host})
 		}
 	}
 	return keys
--- a/bhjob/beat_test.go
+++ b/bhjob/beat_test.go
@@ -17,7 +17,7 @@
 func observeFor(t *testing.T, b *beats, length time.Duration) {
 	t.Helper()
 	for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(250 * time.Millisecond) {
-		_ = b.observe(t.Context())
+		_ = b.observe(t.Context(), nil)
 	}
 }
 
@@ -56,6 +56,24 @@
 	})
 }
 
+func TestEarlierStartsOfAHostAreDeadAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		start := func(holder string) *beats { return newBeats(holder, store, bhclock.NewRuntime(), bhlog.Nop()) }
+		observer, before := start("me.2"), start("other.1")
+		require.NoError(t, before.beat(t.Context()))
+		require.NoError(t, observer.observe(t.Context(), map[string]bool{"other.1": true}))
+		assert.False(t, observer.dead("other.1"))
+		after := start("other.2")
+		require.NoError(t, after.beat(t.Context()))
+		require.NoError(t, observer.observe(t.Context(), map[string]bool{"other.1": true, "other.2": true}), "not due but for the unknown holder")
+		assert.True(t, observer.dead("other.1"))
+		assert.False(t, observer.dead("other.2"))
+		assert.True(t, observer.dead("me.1"))
+		assert.False(t, observer.dead("me.2"))
+	})
+}
+
 func TestNobodyIsDeadRightAfterAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var down atomic.Bool
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -148,8 +148,8 @@
 	if err != nil {
 		return err
 	}
-	if claimedByOthers(jobs, r.config.Holder) {
-		if err := r.beats.observe(ctx); err != nil {
+	if holders := otherHolders(jobs, r.config.Holder); len(holders) > 0 {
+		if err := r.beats.observe(ctx, holders); err != nil {
 			return err
 		}
 	}
@@ -171,15 +171,17 @@
 	return nil
 }
 
-func claimedByOthers(jobs []*Job, holder string) bool {
+// otherHolders returns the holders of claims other than the runner itself.
+func otherHolders(jobs []*Job, own string) map[string]bool {
+	holders := make(map[string]bool)
 	for _, job := range jobs {
 		for i := range job.Items {
-			if job.Items[i].Status == Claimed && job.Items[i].Holder != holder {
-				return true
+			if state := &job.Items[i]; state.Status == Claimed && state.Holder != own {
+				holders[state.Holder] = true
 			}
 		}
 	}
-	return false
+	return holders
 }
 
 // claim claims items of one of the most urgent jobs.
--- a/bhquota/limiter_test.go
+++ b/bhquota/limiter_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net/netip"
 	"os"
@@ -48,6 +49,7 @@
 // gateway is one limiter whose host may be frozen, cut off or killed.
 type gateway struct {
 	fleet   *fleet
+	host    string
 	limiter *Limiter
 	stop    context.CancelFunc
 	done    chan struct{}
@@ -64,12 +66,16 @@
 	return f
 }
 
-func (f *fleet) add() *gateway {
-	g := &gateway{fleet: f, done: make(chan struct{})}
+// add starts a gateway on a host of its own.
+func (f *fleet) add() *gateway { return f.startAt(fmt.Sprint("host-", len(f.all))) }
+
+// startAt starts a gateway on the host.
+func (f *fleet) startAt(host string) *gateway {
+	g := &gateway{fleet: f, host: host, done: make(chan struct{})}
 	g.limiter = New(Config{
 		Peers:     g,
 		Store:     g,
-		Holder:    fmt.Sprintf("gateway-%d", len(f.all)),
+		Holder:    fmt.Sprintf("%s.%d", host, len(f.all)),
 		Index:     f.index.Load,
 		Tolerance: func() Tolerance { return tolerance },
 		Clock:     bhclock.NewRuntime(),
@@ -350,9 +356,14 @@
 		case 3:
 			g := f.all[random.IntN(len(f.all))]
 			g.mu.Lock()
+			dead := g.dead
 			g.dead = true
 			g.mu.Unlock()
-			f.add()
+			if !dead && random.IntN(2) == 0 {
+				f.startAt(g.host)
+			} else {
+				f.add()
+			}
 		}
 		f.drive(random, "zoo", account.Rate*(0.5+3*random.Float64()), time.Duration(500+random.IntN(2500))*time.Millisecond)
 	}
@@ -494,6 +505,22 @@
 	})
 }
 
+func TestRestartedGatewayFreesWhatItsLastStartHeld(t *testing.T) {
+	bounds := limitOf(&bhpolicy.Account{Rate: 10, Burst: 10}, tolerance)
+	b := &bucket{Holdings: map[string]holding{
+		"a.1": {Tokens: 20, Rate: 8, Cap: 20, Until: time.Hour},
+		"b.1": {Tokens: 1, Rate: 1, Cap: 1, Until: time.Hour},
+	}, At: time.Second}
+	b.advance(bounds, 2*time.Second)
+	level := b.Level
+	assert.InDelta(t, bounds.rate-9, level, 0.01, "lent rate accrues with its holders until then")
+	b.dropEarlier("a.2")
+	assert.Equal(t, []string{"b.1"}, slices.Collect(maps.Keys(b.Holdings)))
+	assert.InDelta(t, level, b.Level, 0, "what was held may have been used")
+	b.advance(bounds, 3*time.Second)
+	assert.InDelta(t, level+bounds.rate-1, b.Level, 0.01)
+}
+
 func TestSmallAccountsTakeFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const accounts, seconds = 10, 60
--- a/bhquota/state.go
+++ b/bhquota/state.go
@@ -15,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
+	"github.com/baobabhaven/baobabhaven/bhhost"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 )
 
@@ -105,6 +106,16 @@
 	b.Level = max(0, min(b.Level, limit.capacity-held))
 }
 
+// dropEarlier drops the holdings of earlier starts of the holder's host, which
+// nobody can use any more. What they may have used stays used.
+func (b *bucket) dropEarlier(holder string) {
+	for other := range b.Holdings {
+		if other != holder && bhhost.HostOf(other) == bhhost.HostOf(holder) {
+			delete(b.Holdings, other)
+		}
+	}
+}
+
 // others returns the rate and the most tokens of all holders but one.
 func (b *bucket) others(holder string) (rate, held float64) {
 	for name, h := range b.Holdings {
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -370,6 +370,7 @@
 		bounds = limitOf(index.AccountNamed(s.account), s.config.Tolerance())
 	}
 	b.advance(bounds, now)
+	b.dropEarlier(s.config.Holder)
 	s.contenders = max(1, len(b.Holdings))
 	s.serial++
 	s.mu.Lock()
