Store the output of running items every two seconds

It needs no condition, since any prefix of an item is one to go on from.

Tests: TestItemsOfAKilledRunnerGoOnFromWhatItSaved, which fails without.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -294,6 +294,7 @@
 	socket := h.socket()
 	runner.Serve(socket)
 	tree.AddPersistent("peers", socket.Run)
+	tree.AddPersistent("save", runner.Save)
 	tree.AddPersistent("sweep", runner.Sweep)
 	tree.Add("claims", func(ctx context.Context) error {
 		<-ctx.Done()
--- a/bhjob/claim.go
+++ b/bhjob/claim.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -56,8 +57,10 @@
 			if len(ids) == most {
 				break
 			}
-			if state.Status == Waiting || state.Status == Claimed && lost(state.Holder, state.ID) {
+			taken := state.Status == Claimed && lost(state.Holder, state.ID)
+			if state.Status == Waiting || taken {
 				state.Status, state.Holder = Claimed, holder
+				state.Saved = state.Saved || taken
 				ids = append(ids, state.ID)
 			}
 		}
@@ -95,6 +98,37 @@
 	return checkpoint, err
 }
 
+// SavedItem is the output so far of an item that runs.
+type SavedItem struct {
+	Job        *Job
+	ID         string
+	Checkpoint Checkpoint
+}
+
+// Save stores the output so far of items, for runners that take them over. It
+// sets no condition: any checkpoint of an item is one to go on from.
+func (l *Ledger) Save(ctx context.Context, items []SavedItem) error {
+	puts := make(map[string][]bhplatform.Put)
+	for _, item := range items {
+		value, err := encode(item.Checkpoint)
+		if err != nil {
+			return err
+		}
+		key := itemKey(checkpointTable, item.Job.Account, item.Job.ID, item.ID)
+		if len(value) <= recordLimit {
+			puts[key.Partition] = append(puts[key.Partition], bhplatform.Put{Key: key, Value: value})
+		}
+	}
+	for _, part := range puts {
+		for batch := range slices.Chunk(part, savedRecords) {
+			if _, err := l.config.Store.Apply(ctx, bhplatform.Transaction{Puts: batch}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
 // mine returns the item's state if the holder still has its claim.
 func mine(job *Job, id, holder string) *ItemState {
 	state := job.item(id)
--- a/bhjob/job.go
+++ b/bhjob/job.go
@@ -63,7 +63,7 @@
 	Holder string `cbor:"4,keyasint,omitempty"`
 	// Failures counts runs that ended with a failure of the upstream.
 	Failures int `cbor:"5,keyasint,omitempty"`
-	// Saved reports that a checkpoint of the item's output is stored.
+	// Saved reports that a checkpoint of the item's output may be stored.
 	Saved bool `cbor:"6,keyasint,omitempty"`
 }
 
--- a/bhjob/record.go
+++ b/bhjob/record.go
@@ -33,6 +33,8 @@
 	// and 1 MB, which count base64.
 	transactionRecords = 90
 	transactionBytes   = 600 << 10
+	// savedRecords is how many of the largest records fit into a transaction.
+	savedRecords = transactionBytes / recordLimit
 )
 
 // partition returns the partition of all records of an account.
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -64,8 +64,10 @@
 	item    Item
 	claimed time.Duration
 
-	phase   phase
-	saved   Checkpoint
+	phase phase
+	saved Checkpoint
+	// kept is the last event of the checkpoint in the store.
+	kept    string
 	text    []string
 	flowing bool
 	// stopping reports that the request at the engine is being cancelled.
@@ -217,6 +219,11 @@
 	})
 }
 
+// checkpoint returns the output so far.
+func (u *run) checkpoint() Checkpoint {
+	return Checkpoint{LastEvent: u.saved.LastEvent, Text: u.output()}
+}
+
 // output returns the text so far.
 func (u *run) output() string {
 	if len(u.text) == 0 {
@@ -229,7 +236,7 @@
 func (u *run) giveBack(failed bool) {
 	release := ItemRelease{ID: u.item.ID, Failed: failed}
 	if !failed {
-		release.Checkpoint = Checkpoint{LastEvent: u.saved.LastEvent, Text: u.output()}
+		release.Checkpoint = u.checkpoint()
 	}
 	u.end(func(context.Context) error { return u.runner.giveBack(u.job, release) })
 }
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -319,7 +319,7 @@
 		}
 		return errors.Wrapf(err, "loading item %s", id)
 	}
-	claimed := &run{runner: r, job: job, item: item, saved: saved, claimed: r.config.Clock.Now(), phase: paused}
+	claimed := &run{runner: r, job: job, item: item, saved: saved, kept: saved.LastEvent, claimed: r.config.Clock.Now(), phase: paused}
 	bhlog.Event(r.config.Logger, "item.claimed", "item", id, "job", job.ID, "account", job.Account, "version", job.Version,
 		"after", saved.LastEvent, "failures", job.item(id).Failures)
 	r.mu.Lock()
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -166,7 +166,7 @@
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	for _, part := range []func(context.Context) error{r.runner.Beat, r.runner.Look, r.runner.Pace} {
+	for _, part := range []func(context.Context) error{r.runner.Beat, r.runner.Look, r.runner.Pace, r.runner.Save} {
 		r.done.Go(func() { _ = part(ctx) })
 	}
 	t.Cleanup(func() {
@@ -364,6 +364,30 @@
 	}, 30*time.Second, time.Millisecond)
 }
 
+func TestItemsOfAKilledRunnerGoOnFromWhatItSaved(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	a := newRig(t, store, "host.1")
+	a.engine.set(func(e *engine) { e.gap, e.events = 50*time.Millisecond, 1000 })
+	submission := sampleJob("j", 1)
+	require.NoError(t, newLedger(store).Submit(t.Context(), submission))
+	var saved Checkpoint
+	require.Eventually(t, func() bool {
+		var err error
+		saved, err = newLedger(store).LoadCheckpoint(t.Context(), &Job{Account: "zoo", ID: "j"}, "j-0")
+		return err == nil && saved.LastEvent != ""
+	}, 30*time.Second, 10*time.Millisecond)
+	a.cancel() // without Close: nothing is given back
+	a.done.Wait()
+	b := newRig(t, store, "host.2")
+	b.engine.set(func(e *engine) { e.events = 1000 })
+	assert.Equal(t, output("j-0", 1000), b.results("j", 1)[0].Text)
+	resumed, err := strconv.Atoi(b.engine.seen()[0].Get(dialect.LastEvent))
+	require.NoError(t, err)
+	first, err := strconv.Atoi(saved.LastEvent)
+	require.NoError(t, err)
+	assert.GreaterOrEqual(t, resumed, first)
+}
+
 func TestDeadRunnersItemsAreTakenOver(t *testing.T) {
 	store := bhstand.NewStore(bhstand.StoreConfig{})
 	require.NoError(t, newLedger(store).Submit(t.Context(), sampleJob("j", 2)))
