Tell a request's story from logs; sample repeated lines; tell of dropped ones

The end of an item did not say why.

Change: bhstory and 'baobab story ID FILE...' print the lines about a request, job or item of all processes and what these saw shortly before. bhlog passes 200 lines a second of one event and route, account or upstream, and one in 20 beyond; failures always pass; what is left out, and lines dropped at a slow output, are told once a second. item.ended names the reason.

Tests: TestStoriesOfFailedRequests starts a gateway and a runner as processes, has a request refused, a stream broken and an item given up, and finds each cause with the program; bhstory, bhlog and bhcmd tests.

--- a/bhcmd/root.go
+++ b/bhcmd/root.go
@@ -58,6 +58,7 @@
 			NewRunner(factory),
 			NewSidecar(factory),
 			NewStand(factory),
+			NewStory(factory),
 			NewVersion(factory),
 		},
 	}
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -134,7 +135,7 @@
 // expire gives the item up.
 func (u *run) expire() {
 	bhlog.Event(u.runner.config.Logger, "item.expired", "item", u.item.ID, "job", u.job.ID, "expires", u.job.Expires)
-	u.stop(func() { u.list(Result{ID: u.item.ID, Status: Dead}) })
+	u.stop(func() { u.list(Result{ID: u.item.ID, Status: Dead}, "expired") })
 }
 
 func (u *run) forget() { delete(u.runner.runs, u.item.ID) }
@@ -146,11 +147,11 @@
 		u.phase = paused
 		u.after()
 	case err == nil:
-		u.list(Result{ID: u.item.ID, Status: Completed, Text: u.output()})
+		u.list(Result{ID: u.item.ID, Status: Completed, Text: u.output()}, "completed")
 	case ctx.Err() != nil:
 		u.rest(0)
 	case errors.Is(err, errRejected), errors.Is(err, errNoRoute):
-		u.list(Result{ID: u.item.ID, Status: Dead})
+		u.list(Result{ID: u.item.ID, Status: Dead}, err.Error())
 	case errors.Is(err, errFailed):
 		u.fail()
 	case errors.Is(err, errRefused):
@@ -180,20 +181,20 @@
 	state := u.job.item(u.item.ID)
 	bhlog.Event(u.runner.config.Logger, "item.failed", "item", u.item.ID, "job", u.job.ID, "failures", state.Failures+1, "attempts", u.job.Attempts)
 	if state.Failures+1 >= u.job.Attempts {
-		u.list(Result{ID: u.item.ID, Status: Dead})
+		u.list(Result{ID: u.item.ID, Status: Dead}, fmt.Sprintf("failed %d times", state.Failures+1))
 		return
 	}
 	u.giveBack(true)
 }
 
 // list lists the result, again and again while the store is away.
-func (u *run) list(result Result) {
+func (u *run) list(result Result, reason string) {
 	u.end(func(ctx context.Context) error {
 		for {
 			listed, err := u.runner.config.Ledger.List(ctx, u.job, u.runner.config.Holder, result)
 			if err == nil {
 				u.runner.metrics.listed(result.Status)
-				bhlog.Event(u.runner.config.Logger, "item.ended", "item", u.item.ID, "job", u.job.ID, "status", result.Status, "listed", listed)
+				bhlog.Event(u.runner.config.Logger, "item.ended", "item", u.item.ID, "job", u.job.ID, "status", result.Status, "reason", reason, "listed", listed)
 				return nil
 			}
 			if bhcode.Is(err, bhcode.NotFound) {
--- a/bhlog/async.go
+++ b/bhlog/async.go
@@ -1,16 +1,22 @@
 package bhlog
 
 import (
+	"fmt"
 	"io"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
-// asyncLines is how many lines may wait for a slow output.
-const asyncLines = 4096
+const (
+	// asyncLines is how many lines may wait for a slow output.
+	asyncLines = 4096
+	// reportInterval is how often dropped lines are told.
+	reportInterval = time.Second
+)
 
 // AsyncWriter passes lines on to a writer without ever blocking. Lines that
-// find its queue full are dropped and counted.
+// find its queue full are dropped, counted, and told of in a line of its own.
 type AsyncWriter struct {
 	output  io.Writer
 	lines   chan []byte
@@ -48,10 +54,19 @@
 }
 
 func (w *AsyncWriter) run() {
+	ticker := time.NewTicker(reportInterval)
+	defer ticker.Stop()
+	reported := int64(0)
 	for {
 		select {
 		case line := <-w.lines:
 			w.pass(line)
+		case <-ticker.C:
+			if dropped := w.Dropped(); dropped != reported {
+				w.pass(fmt.Appendf(nil, "ts=%s level=warn event=log.dropped lines=%d total=%d\n",
+					time.Now().UTC().Format(time.RFC3339Nano), dropped-reported, dropped))
+				reported = dropped
+			}
 		case <-w.closed:
 			w.flush()
 			return
--- a/bhlog/log.go
+++ b/bhlog/log.go
@@ -22,15 +22,15 @@
 )
 
 // New returns a logfmt logger that writes lines at or above the named level to
-// w. An empty level means Info.
+// w, and only a part of those that repeat. An empty level means Info.
 func New(w io.Writer, name string) (Logger, error) {
 	allow, err := option(name)
 	if err != nil {
 		return nil, err
 	}
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
-	logger = level.NewFilter(logger, allow)
-	return log.With(logger, "ts", log.DefaultTimestampUTC), nil
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	return level.NewFilter(NewSampler(logger), allow), nil
 }
 
 // Nop returns a logger that discards everything.
--- /dev/null
+++ b/bhlog/sample_test.go
@@ -0,0 +1,99 @@
+package bhlog
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func newBuffered(t testing.TB, output io.Writer) Logger {
+	logger, err := New(output, Info)
+	require.NoError(t, err)
+	return logger
+}
+
+func TestRepeatedLinesAreSampledByKindAndKey(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		logger := newBuffered(t, &output)
+		const many = 10 * sampleFull
+		for i := range many {
+			Event(logger, "request.done", "request", fmt.Sprint("r", i), "route", "busy")
+		}
+		Event(logger, "request.done", "request", "first", "route", "calm")
+		Event(logger, "job.accepted", "job", "j", "account", "busy")
+		for i := range many {
+			Problem(logger, "request.failed", errors.New("no"), "request", fmt.Sprint("r", i), "route", "busy")
+		}
+		text := output.String()
+		kept := strings.Count(text, "event=request.done")
+		assert.Equal(t, sampleFull+(many-sampleFull)/sampleRate+1, kept)
+		assert.Contains(t, text, "request=first route=calm", "the first of a key passes")
+		assert.Contains(t, text, "job=j account=busy")
+		assert.Equal(t, many, strings.Count(text, "event=request.failed"), "failures all pass")
+
+		time.Sleep(sampleSecond)
+		output.Reset()
+		Event(logger, "request.done", "request", "next", "route", "busy")
+		text = output.String()
+		assert.Contains(t, text, "request=next", "a new second counts anew")
+		assert.Contains(t, text, fmt.Sprintf("event=log.sampled of=request.done key=busy left_out=%d", many+1-kept))
+	})
+}
+
+func TestAsyncWriterTellsWhatItDropped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		output := &gatedWriter{open: make(chan struct{})}
+		w := NewAsyncWriter(output)
+		for range asyncLines + 11 {
+			_, err := w.Write([]byte("line\n"))
+			require.NoError(t, err)
+		}
+		dropped := w.Dropped()
+		assert.Positive(t, dropped)
+		close(output.open)
+		time.Sleep(2 * reportInterval)
+		require.NoError(t, w.Close())
+		assert.Equal(t, 1, strings.Count(output.text.String(), "event=log.dropped"))
+		assert.Contains(t, output.text.String(), fmt.Sprintf("lines=%d total=%d", dropped, dropped))
+	})
+}
+
+// BenchmarkLine measures the line of one request, written, left out by sampling,
+// and below the level.
+func BenchmarkLine(b *testing.B) {
+	line := func(logger Logger, route string) {
+		Event(logger, "request.done", "request", "f520bbcb52114480", "route", route, "account", "zoo", "policy", int64(5),
+			"proof_age", 35*time.Millisecond, "sends", 1, "upstream", "i-1", "status", 200, "took", time.Second)
+	}
+	b.Run("written", func(b *testing.B) {
+		b.ReportAllocs()
+		logger := newBuffered(b, io.Discard)
+		for i := range b.N {
+			line(logger, fmt.Sprint(i))
+		}
+	})
+	b.Run("sampled", func(b *testing.B) {
+		b.ReportAllocs()
+		logger := newBuffered(b, io.Discard)
+		for range b.N {
+			line(logger, "busy")
+		}
+	})
+	b.Run("off", func(b *testing.B) {
+		b.ReportAllocs()
+		logger, err := New(io.Discard, Error)
+		require.NoError(b, err)
+		for range b.N {
+			line(logger, "busy")
+		}
+	})
+}
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -180,7 +180,7 @@
 	s.mu.Unlock()
 	now := s.config.Clock.Now()
 	pairs := []any{"account", s.account, "rate", account.Rate, "burst", account.Burst, "tokens", p.tokens, "lent_rate", p.rate,
-		"demand", p.demand, "waiting", p.waiting, "lapses_in", p.until - now}
+		"demand", p.demand, "waiting", p.waiting, "lapses_in", max(0, p.until-now)}
 	if last := s.last.Load(); last != nil {
 		pairs = append(pairs, "bucket", last.level, "contenders", last.contenders, "version", last.version, "age", now-last.at)
 	}
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -83,6 +83,9 @@
 	switch {
 	case strings.HasPrefix(body, "poison"):
 		w.WriteHeader(http.StatusUnprocessableEntity)
+	case strings.HasPrefix(body, "break"):
+		stream(w, r, id, liveEvents/2)
+		panic(http.ErrAbortHandler)
 	case strings.HasPrefix(body, "fail"):
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasPrefix(r.URL.Path, "/safe/"), strings.HasPrefix(r.URL.Path, "/unsafe/"):
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -119,11 +119,12 @@
 
 var rates = map[string]float64{"zoo": 200, "small": 15}
 
-func play(t *testing.T, seed uint64) {
+// newWorld starts the processes over a store and engines.
+func newWorld(t *testing.T, seed uint64, gateways, engines int) *world {
 	w := &world{t: t, record: newRecorder(), store: newStoreServer(seed), drained: make(map[string]bool),
 		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}}}
 	server := httptest.NewServer(w.store)
-	defer server.Close()
+	t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
 	for i := range engines {
 		w.engines = append(w.engines, newEngine(t, fmt.Sprintf("i-%d", i), w.record))
@@ -138,6 +139,11 @@
 	for i, e := range w.engines {
 		w.processes = append(w.processes, newProcess(t, "runner", fmt.Sprintf("runner-%d", i), address, e.address))
 	}
+	return w
+}
+
+func play(t *testing.T, seed uint64) {
+	w := newWorld(t, seed, gateways, engines)
 	time.Sleep(lead)
 	w.run(seed)
 	for _, p := range w.processes {
