Count only the youngest of the instances at an address; serve metrics at a fixed port

Half of the first requests went to an instance that was gone, got 421, and on routes with one attempt were refused (47 answers 503 in 3 s); runners took the wrong one for their engine.

Change: of several instances at one address the one that started last counts.

Tests: TestYoungestInstanceOfAnAddressCounts, which fails without.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
+	"math"
 	"net"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -47,8 +50,9 @@
 
 // HostOptions are the flags of daemons that run on the platform's hosts.
 type HostOptions struct {
-	Settings string
-	Log      string
+	Settings  string
+	Log       string
+	AdminPort int
 }
 
 // NewGateway returns the command that runs a gateway.
@@ -92,12 +96,16 @@
 		),
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "settings", Usage: "`FILE` with the settings", Sources: cli.EnvVars(platform.SettingsVariable), Required: true, Destination: &options.Settings},
+			&cli.IntFlag{Name: "admin-port", Usage: "`PORT` of the admin address instead of the settings' one, for tools that need a fixed one", Destination: &options.AdminPort},
 			&cli.StringFlag{Name: "log", Usage: "least `LEVEL` of log lines: debug, info, warn or error", Value: bhlog.Info, Destination: &options.Log},
 		},
 		Action: func(ctx context.Context, command *cli.Command) error {
 			if err := noArguments(command); err != nil {
 				return err
 			}
+			if options.AdminPort < 0 || options.AdminPort > math.MaxUint16 {
+				return &UsageError{Message: fmt.Sprintf("--admin-port %d is no port", options.AdminPort)}
+			}
 			return runHosted(ctx, factory, role, options)
 		},
 	}
@@ -145,7 +153,7 @@
 	bhlog.Event(logger, "start", "role", role.name, "host", settings.Host, "centre", settings.Centre, "holder", h.holder, "version", Version)
 	tree := bhtree.New(bhtree.Config{Name: role.name, Logger: logger})
 	tree.AddPersistent("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
-	tree.AddPersistent("admin", h.admin(output))
+	tree.AddPersistent("admin", h.admin(output, options.AdminPort))
 	role.build(h, tree)
 	err = tree.Run(ctx)
 	bhlog.Event(logger, "stop", "role", role.name, "err", err, "lines_dropped", output.Dropped())
@@ -304,8 +312,12 @@
 	})
 }
 
-// admin serves the metrics.
-func (h *hosted) admin(output *bhlog.AsyncWriter) bhtree.Run {
+// admin serves the metrics, at the given port of the admin address unless it is zero.
+func (h *hosted) admin(output *bhlog.AsyncWriter, port int) bhtree.Run {
+	address := h.file.Current().Admin
+	if host, _, err := net.SplitHostPort(address); err == nil && port != 0 {
+		address = net.JoinHostPort(host, strconv.Itoa(port))
+	}
 	dropped := h.metrics.Scope.Gauge("log_lines_dropped")
 	e := echo.New()
 	e.HideBanner, e.HidePort = true, true
@@ -315,7 +327,7 @@
 		return nil
 	})
 	return func(ctx context.Context) error {
-		listener, err := net.Listen("tcp", h.file.Current().Admin)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			return errors.Wrap(err, "metrics")
 		}
--- a/bhwatch/roster.go
+++ b/bhwatch/roster.go
@@ -12,6 +12,8 @@
 	known  map[string]Instance
 	lapsed map[string]time.Duration
 	read   time.Duration
+	// replaced holds the instances whose address a younger one has.
+	replaced map[string]bool
 }
 
 func newRoster() roster {
@@ -24,13 +26,39 @@
 	if sent >= r.read {
 		r.merge(instances, sent, logger)
 	}
+	r.replaced = r.findReplaced(logger)
 	fleet := make(map[string][]Instance)
-	for _, instance := range r.known {
-		fleet[instance.Service] = append(fleet[instance.Service], instance)
+	for id, instance := range r.known {
+		if !r.replaced[id] {
+			fleet[instance.Service] = append(fleet[instance.Service], instance)
+		}
 	}
 	return fleet
 }
 
+// findReplaced returns the instances whose address a younger one has: they ended
+// without taking their record away, and it hasn't lapsed yet.
+func (r *roster) findReplaced(logger bhlog.Logger) map[string]bool {
+	youngest := make(map[string]Instance, len(r.known))
+	for _, instance := range r.known {
+		if instance.Born >= youngest[instance.Address].Born {
+			youngest[instance.Address] = instance
+		}
+	}
+	replaced := make(map[string]bool)
+	for id, instance := range r.known {
+		other := youngest[instance.Address]
+		if instance.Born >= other.Born {
+			continue
+		}
+		replaced[id] = true
+		if !r.replaced[id] {
+			bhlog.Event(logger, "upstream.replaced", "upstream", id, "address", instance.Address, "born", instance.Born, "by", other.ID, "by_born", other.Born)
+		}
+	}
+	return replaced
+}
+
 func (r *roster) merge(instances []Instance, sent time.Duration, logger bhlog.Logger) {
 	away := r.read > 0 && sent-r.read > lapseGap
 	r.read = sent
--- a/bhwatch/watch_test.go
+++ b/bhwatch/watch_test.go
@@ -226,3 +226,22 @@
 		assert.Equal(t, []string{"a"}, ids(w.View().Fleet["s"]))
 	})
 }
+
+func TestYoungestInstanceOfAnAddressCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		old := Instance{ID: "old", Service: "s", Address: "10.0.0.1:80", Born: 100}
+		young := Instance{ID: "young", Service: "s", Address: "10.0.0.1:80", Born: 200}
+		other := Instance{ID: "other", Service: "s", Address: "10.0.0.2:80", Born: 50}
+		source := &fakeSource{version: 1, instances: []Instance{old, other}}
+		w, _ := newWatcher(source)
+		start(t, w)
+		time.Sleep(time.Second)
+		assert.ElementsMatch(t, []string{"old", "other"}, ids(w.View().Fleet["s"]))
+		source.set(func(s *fakeSource) { s.instances = []Instance{young, old, other} })
+		time.Sleep(2 * DefaultInterval)
+		assert.ElementsMatch(t, []string{"young", "other"}, ids(w.View().Fleet["s"]), "the old one's record hasn't lapsed yet")
+		source.set(func(s *fakeSource) { s.instances = []Instance{old, other} })
+		time.Sleep(2 * DefaultInterval)
+		assert.ElementsMatch(t, []string{"old", "other"}, ids(w.View().Fleet["s"]), "the young one's record has gone")
+	})
+}
