--- a/bhgate/board.go
+++ b/bhgate/board.go
@@ -128,8 +128,9 @@
 	silentScore = 0.5
 	// staleScore puts an engine whose own runner gets no answer after full ones.
 	staleScore = 10.0
-	// itemScore counts a batch item as a part of a live request, which it leaves for.
-	itemScore = 0.1
+	// itemScore counts a batch item as a part of a live request: it leaves for one,
+	// but makes nothing for some 50 ms when it goes on.
+	itemScore = 0.6
 	// centreScore and jitterScore only decide between equals.
 	centreScore = 0.02
 	jitterScore = 0.01
