Keep checkpoints out of the jobs' partition and one a holder; ask a lost store less often

Cause: one partition takes 200 transactions a second; with 53 runners that store outputs every 2 s a sixth of it went to checkpoints, beside claims and results. A late holder's checkpoint could replace a newer one's.

Change: checkpoints lie in four partitions of their own under their holder's name, which the job's record gives. After a failed claim a runner waits half a second, and attempts to list or to release back off to a second.

Tests: TestCheckpointsPassToTheNextHolder (which failed while checkpoints had no holder's name), now with the holder's name, and all of bhjob with the race detector.

--- a/bhgate/board.go
+++ b/bhgate/board.go
@@ -123,9 +123,9 @@
 const (
 	// restScore puts an instance after all that aren't resting.
 	restScore = 1000.0
-	// silentScore puts an engine that doesn't tell its load after those with half
+	// silentScore puts an engine that doesn't tell its load after those with a fifth
 	// of their slots free.
-	silentScore = 0.5
+	silentScore = 0.8
 	// staleScore puts an engine whose own runner gets no answer after full ones.
 	staleScore = 10.0
 	// itemScore counts a batch item as a part of a live request: it leaves for one,
--- a/bhjob/claim.go
+++ b/bhjob/claim.go
@@ -59,8 +59,10 @@
 			}
 			taken := state.Status == Claimed && lost(state.Holder, state.ID)
 			if state.Status == Waiting || taken {
+				if taken {
+					state.SavedBy = state.Holder
+				}
 				state.Status, state.Holder = Claimed, holder
-				state.Saved = state.Saved || taken
 				ids = append(ids, state.ID)
 			}
 		}
@@ -87,10 +89,15 @@
 	return item, err
 }
 
-// LoadCheckpoint returns the stored output of an item so far.
+// LoadCheckpoint returns the stored output of an item so far, which is empty if
+// there is none.
 func (l *Ledger) LoadCheckpoint(ctx context.Context, job *Job, id string) (Checkpoint, error) {
 	var checkpoint Checkpoint
-	record, err := l.get(ctx, itemKey(checkpointTable, job.Account, job.ID, id))
+	state := job.item(id)
+	if state == nil || state.SavedBy == "" {
+		return checkpoint, nil
+	}
+	record, err := l.get(ctx, checkpointKey(job, id, state.SavedBy))
 	if err != nil || record == nil {
 		return checkpoint, err
 	}
@@ -100,13 +107,15 @@
 
 // SavedItem is the output so far of an item that runs.
 type SavedItem struct {
-	Job        *Job
-	ID         string
+	Job *Job
+	ID  string
+	// Holder is the runner whose output it is. Each has a checkpoint of its own, so
+	// that a late one replaces nobody else's.
+	Holder     string
 	Checkpoint Checkpoint
 }
 
-// Save stores the output so far of items, for runners that take them over. It
-// sets no condition: any checkpoint of an item is one to go on from.
+// Save stores the output so far of items, for runners that take them over.
 func (l *Ledger) Save(ctx context.Context, items []SavedItem) error {
 	puts := make(map[string][]bhplatform.Put)
 	for _, item := range items {
@@ -114,7 +123,7 @@
 		if err != nil {
 			return err
 		}
-		key := itemKey(checkpointTable, item.Job.Account, item.Job.ID, item.ID)
+		key := checkpointKey(item.Job, item.ID, item.Holder)
 		if len(value) <= recordLimit {
 			puts[key.Partition] = append(puts[key.Partition], bhplatform.Put{Key: key, Value: value})
 		}
@@ -141,9 +150,10 @@
 // Release gives the holder's claims on items of the job back, with what their
 // runs made so far. Failed items count one failure more.
 func (l *Ledger) Release(ctx context.Context, job *Job, holder string, releases []ItemRelease) error {
+	var made []SavedItem
 	_, err := l.change(ctx, job, func(job *Job) ([]bhplatform.Put, bool, error) {
-		var puts []bhplatform.Put
 		changed := false
+		made = nil
 		for _, release := range releases {
 			state := mine(job, release.ID, holder)
 			if state == nil {
@@ -151,27 +161,24 @@
 			}
 			changed = true
 			state.Status, state.Holder = Waiting, ""
+			if release.Checkpoint.LastEvent != "" {
+				state.SavedBy = holder
+				made = append(made, SavedItem{Job: job, ID: release.ID, Holder: holder, Checkpoint: release.Checkpoint})
+			}
 			if release.Failed {
 				state.Failures++
 			}
-			if release.Checkpoint.LastEvent == "" {
-				continue
-			}
-			value, err := encode(release.Checkpoint)
-			if err != nil {
-				return nil, false, err
-			}
-			if len(value) <= recordLimit {
-				state.Saved = true
-				puts = append(puts, bhplatform.Put{Key: itemKey(checkpointTable, job.Account, job.ID, release.ID), Value: value})
-			}
 		}
-		return puts, changed, nil
+		return nil, changed, nil
 	})
-	if errors.Is(err, errGone) {
+	switch {
+	case errors.Is(err, errGone):
 		return nil
+	case err != nil:
+		return err
 	}
-	return err
+	// Whoever claims the item before this is stored finds what was saved while it ran.
+	return l.Save(ctx, made)
 }
 
 // ItemRelease gives one claim back.
--- a/bhjob/job.go
+++ b/bhjob/job.go
@@ -63,8 +63,8 @@
 	Holder string `cbor:"4,keyasint,omitempty"`
 	// Failures counts runs that ended with a failure of the upstream.
 	Failures int `cbor:"5,keyasint,omitempty"`
-	// Saved reports that a checkpoint of the item's output may be stored.
-	Saved bool `cbor:"6,keyasint,omitempty"`
+	// SavedBy is the holder whose checkpoint of the item's output may be stored.
+	SavedBy string `cbor:"7,keyasint,omitempty"`
 }
 
 // Open reports whether the item has no result yet.
--- a/bhjob/ledger_test.go
+++ b/bhjob/ledger_test.go
@@ -209,7 +209,7 @@
 	require.NoError(t, ledger.Release(t.Context(), job, "a", []ItemRelease{{ID: "j-0", Checkpoint: saved}}))
 	require.NoError(t, ledger.Release(t.Context(), job, "a", []ItemRelease{{ID: "j-0", Checkpoint: Checkpoint{LastEvent: "9"}}}), "a late one changes nothing")
 	job = claimAll(t, ledger, "j", "b")
-	assert.True(t, job.Items[0].Saved)
+	assert.Equal(t, "a", job.Items[0].SavedBy)
 	loaded, err := ledger.LoadCheckpoint(t.Context(), job, "j-0")
 	require.NoError(t, err)
 	assert.Equal(t, saved, loaded)
--- a/bhjob/record.go
+++ b/bhjob/record.go
@@ -27,6 +27,9 @@
 	// partitions spread the jobs. One takes 200 transactions a second, which is
 	// some 90 items; each one more is read by every runner.
 	partitions = 1
+	// savePartitions spread the checkpoints, which are read by their names only, so
+	// that they don't take the transactions of the jobs' partition.
+	savePartitions = 4
 	// recordLimit leaves room for the encoding within the store's 64 KiB a record.
 	recordLimit = 56 << 10
 	// transactionRecords and transactionBytes are below the store's 100 entries
@@ -65,6 +68,14 @@
 	return key
 }
 
+// checkpointKey returns the key of a holder's checkpoint of an item.
+func checkpointKey(job *Job, item, holder string) bhplatform.Key {
+	key := itemKey(checkpointTable, job.Account, job.ID, item)
+	key.Name += "/" + url.PathEscape(holder)
+	key.Partition = "s" + strconv.FormatUint(xxhash.Sum64String(job.ID)%savePartitions, 10)
+	return key
+}
+
 func resultKey(account, job string, position int) bhplatform.Key {
 	key := jobKey(resultTable, account, job)
 	key.Name += fmt.Sprintf("/%06d", position)
--- a/bhjob/run.go
+++ b/bhjob/run.go
@@ -28,8 +28,10 @@
 	breaksLimit = 3
 	// stallLimit is the silence after which an engine counts as gone.
 	stallLimit = 2500 * time.Millisecond
-	// listPause is between attempts to list a result while the store is away.
-	listPause = 250 * time.Millisecond
+	// listPause is the first pause between attempts to list a result or to return
+	// a claim while the store is away; it doubles up to listPauseMax.
+	listPause    = 250 * time.Millisecond
+	listPauseMax = time.Second
 
 	// routeGoneAfter is how much newer than the claim a policy without the item's
 	// route must be, since the gateway that took the job may know a newer one.
@@ -190,7 +192,7 @@
 // list lists the result, again and again while the store is away.
 func (u *run) list(result Result, reason string) {
 	u.end(func(ctx context.Context) error {
-		for {
+		for pause := listPause; ; pause = min(2*pause, listPauseMax) {
 			listed, err := u.runner.config.Ledger.List(ctx, u.job, u.runner.config.Holder, result)
 			if err == nil {
 				u.runner.metrics.listed(result.Status)
@@ -200,8 +202,8 @@
 			if bhcode.Is(err, bhcode.NotFound) {
 				return err
 			}
-			bhlog.Problem(u.runner.config.Logger, "item.unlisted", err, "item", u.item.ID, "job", u.job.ID)
-			time.Sleep(listPause)
+			bhlog.Problem(u.runner.config.Logger, "item.unlisted", err, "item", u.item.ID, "job", u.job.ID, "pause", pause)
+			time.Sleep(pause)
 		}
 	})
 }
@@ -246,12 +248,14 @@
 // lapses with this runner's beats, or is found by the next look.
 func (r *Runner) giveBack(job *Job, release ItemRelease) error {
 	var last error
+	pause := listPause
 	for range changeTries {
 		if last = r.config.Ledger.Release(context.Background(), job, r.config.Holder, []ItemRelease{release}); last == nil {
 			return nil
 		}
-		bhlog.Problem(r.config.Logger, "item.unreleased", last, "item", release.ID, "job", job.ID)
-		time.Sleep(listPause)
+		bhlog.Problem(r.config.Logger, "item.unreleased", last, "item", release.ID, "job", job.ID, "pause", pause)
+		time.Sleep(pause)
+		pause = min(2*pause, listPauseMax)
 	}
 	return errors.Wrapf(last, "%d attempts to release", changeTries)
 }
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -131,10 +131,12 @@
 		case <-tick:
 			return true
 		case <-r.want:
+			pause := claimInterval
 			if err := r.claim(ctx); err != nil && ctx.Err() == nil {
 				bhlog.Problem(r.config.Logger, "claim.failed", err)
+				pause = lookInterval // the store is away, and refused calls cost as much
 			}
-			if !bhtree.Sleep(ctx, claimInterval) {
+			if !bhtree.Sleep(ctx, pause) {
 				return false
 			}
 		}
@@ -310,7 +312,7 @@
 func (r *Runner) take(ctx context.Context, job *Job, id string) error {
 	item, err := r.config.Ledger.Load(ctx, job, id)
 	var saved Checkpoint
-	if err == nil && job.item(id).Saved {
+	if err == nil {
 		saved, err = r.config.Ledger.LoadCheckpoint(ctx, job, id)
 	}
 	if err != nil {
@@ -319,7 +321,7 @@
 		}
 		return errors.Wrapf(err, "loading item %s", id)
 	}
-	claimed := &run{runner: r, job: job, item: item, saved: saved, kept: saved.LastEvent, claimed: r.config.Clock.Now(), phase: paused}
+	claimed := &run{runner: r, job: job, item: item, saved: saved, claimed: r.config.Clock.Now(), phase: paused}
 	bhlog.Event(r.config.Logger, "item.claimed", "item", id, "job", job.ID, "account", job.Account, "version", job.Version,
 		"after", saved.LastEvent, "failures", job.item(id).Failures)
 	r.mu.Lock()
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -373,7 +373,7 @@
 	var saved Checkpoint
 	require.Eventually(t, func() bool {
 		var err error
-		saved, err = newLedger(store).LoadCheckpoint(t.Context(), &Job{Account: "zoo", ID: "j"}, "j-0")
+		saved, err = newLedger(store).LoadCheckpoint(t.Context(), &Job{Account: "zoo", ID: "j", Items: []ItemState{{ID: "j-0", SavedBy: "host.1"}}}, "j-0")
 		return err == nil && saved.LastEvent != ""
 	}, 30*time.Second, 10*time.Millisecond)
 	a.cancel() // without Close: nothing is given back
--- a/bhjob/save.go
+++ b/bhjob/save.go
@@ -36,7 +36,7 @@
 			continue
 		}
 		run.kept = run.saved.LastEvent
-		items = append(items, SavedItem{Job: run.job, ID: id, Checkpoint: run.checkpoint()})
+		items = append(items, SavedItem{Job: run.job, ID: id, Holder: r.config.Holder, Checkpoint: run.checkpoint()})
 	}
 	return items
 }
--- a/bhjob/sweep.go
+++ b/bhjob/sweep.go
@@ -68,9 +68,11 @@
 // last, so that an interrupted removal is taken up again.
 func (l *Ledger) removeJob(ctx context.Context, job *Job) error {
 	name := jobName(job.Account, job.ID) + "/"
-	for _, table := range []string{itemTable, checkpointTable, resultTable} {
+	for _, key := range []bhplatform.Key{
+		jobKey(itemTable, job.Account, job.ID), checkpointKey(job, "", ""), jobKey(resultTable, job.Account, job.ID),
+	} {
 		page, err := bhplatform.ScanAll(ctx, l.config.Store, bhplatform.Range{
-			Table: table, Partition: partition(job.Account), From: name, To: prefixEnd(name),
+			Table: key.Table, Partition: key.Partition, From: name, To: prefixEnd(name),
 		})
 		if err != nil {
 			return err
