--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -154,6 +154,7 @@
 	tree := bhtree.New(bhtree.Config{Name: role.name, Logger: logger})
 	tree.AddPersistent("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
 	tree.AddPersistent("admin", h.admin(output, options.AdminPort))
+	tree.AddPersistent("pool", h.pool.Run)
 	role.build(h, tree)
 	err = tree.Run(ctx)
 	bhlog.Event(logger, "stop", "role", role.name, "err", err, "lines_dropped", output.Dropped())
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
 const (
@@ -70,6 +72,30 @@
 	}
 }
 
+// Run closes connections that have been idle for too long until ctx is done.
+func (p *Pool) Run(ctx context.Context) error {
+	for bhtree.Sleep(ctx, idleLimit) {
+		p.prune()
+	}
+	return nil
+}
+
+// prune closes the connections that wouldn't be used any more.
+func (p *Pool) prune() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		// The longest idle ones come first.
+		for len(list) > 0 && time.Since(list[0].idle) > idleLimit {
+			_ = list[0].Close()
+			list = list[1:]
+		}
+		if p.idle[address] = list; len(list) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
 // Close closes the idle connections.
 func (p *Pool) Close() error {
 	p.mu.Lock()
--- a/bhpolicy/policy.go
+++ b/bhpolicy/policy.go
@@ -37,14 +37,11 @@
 	Timeout time.Duration
 	// Target is the latency objective of the answer, or of its first event.
 	Target time.Duration
-	// GapTarget is the longest pause between events that meets the objective.
-	GapTarget time.Duration
 	// RunTarget and Retention count from a batch job's arrival: when results
 	// are due, and when items may be abandoned.
 	RunTarget   time.Duration
 	Retention   time.Duration
 	MaxAttempts int
-	Priority    int
 	Public      bool
 	Resumable   bool
 	// MaxQueuedTokens bounds the waiting tokens of an account on a batch
@@ -69,9 +66,8 @@
 
 // Account is a client account.
 type Account struct {
-	Name     string
-	Keys     []string
-	Priority int
+	Name string
+	Keys []string
 	// Rate is in requests a second; zero means no limit.
 	Rate  float64
 	Burst float64
@@ -79,20 +75,15 @@
 
 // Service is a group of upstreams that serve alike.
 type Service struct {
-	Name       string
-	HealthPath string
-	// Connections is how many connections one upstream takes from all hosts.
-	Connections int
+	Name string
 	// Slots is how many requests an engine runs at once; zero for plain services.
 	Slots int
 }
 
 // Limits bound what a client may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes   int64
+	IdleTimeout time.Duration
 }
 
 // Policy is one version of the declared configuration.
