Ask a lost store for tokens less often; give the operators' commands one way to read a configuration

Change: a round of a quota waits 100 ms after one that failed. readConfig and OperatorOptions.current replace the copies.

Tests: TestFewCallsAreMadeInAnOutage (ten seconds of 100 requests a second make at most 100 calls, and all is served again after); bhcmd's own.

--- a/bhcmd/apply.go
+++ b/bhcmd/apply.go
@@ -49,11 +49,7 @@
 }
 
 func runApply(ctx context.Context, factory *Factory, options *ApplyOptions) error {
-	data, err := readFile(factory, options.File)
-	if err != nil {
-		return err
-	}
-	config, err := bhconf.ParseConfig(data)
+	config, err := readConfig(factory, options.File)
 	if err != nil {
 		return err
 	}
@@ -116,19 +112,11 @@
 }
 
 func runDiff(ctx context.Context, factory *Factory, options *ApplyOptions) error {
-	data, err := readFile(factory, options.File)
-	if err != nil {
-		return err
-	}
-	config, err := bhconf.ParseConfig(data)
-	if err != nil {
-		return err
-	}
-	client, err := options.client()
+	config, err := readConfig(factory, options.File)
 	if err != nil {
 		return err
 	}
-	current, err := client.Current(ctx)
+	_, current, err := options.current(ctx)
 	if err != nil {
 		return err
 	}
@@ -162,11 +150,7 @@
 }
 
 func runRollback(ctx context.Context, factory *Factory, options *ApplyOptions) error {
-	client, err := options.client()
-	if err != nil {
-		return err
-	}
-	current, err := client.Current(ctx)
+	client, current, err := options.current(ctx)
 	if err != nil {
 		return err
 	}
--- a/bhcmd/key.go
+++ b/bhcmd/key.go
@@ -62,11 +62,7 @@
 }
 
 func runKeyIssue(ctx context.Context, factory *Factory, options *KeyOptions) error {
-	client, err := options.client()
-	if err != nil {
-		return err
-	}
-	current, err := client.Current(ctx)
+	client, current, err := options.current(ctx)
 	if err != nil {
 		return err
 	}
@@ -189,11 +185,7 @@
 }
 
 func runKeyList(ctx context.Context, factory *Factory, options *KeyOptions) error {
-	client, err := options.client()
-	if err != nil {
-		return err
-	}
-	current, err := client.Current(ctx)
+	_, current, err := options.current(ctx)
 	if err != nil {
 		return err
 	}
--- a/bhcmd/operator.go
+++ b/bhcmd/operator.go
@@ -1,6 +1,7 @@
 package bhcmd
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -10,6 +11,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/baobabhaven/baobabhaven/bhadmin"
+	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 )
 
@@ -50,6 +52,16 @@
 	return bhadmin.NewClient(bhadmin.ClientConfig{URL: strings.TrimSuffix(o.Admin, "/"), Token: token}), nil
 }
 
+// current returns a client and the configuration in force at its entry.
+func (o *OperatorOptions) current(ctx context.Context) (*bhadmin.Client, bhadmin.ConfigReply, error) {
+	client, err := o.client()
+	if err != nil {
+		return nil, bhadmin.ConfigReply{}, err
+	}
+	reply, err := client.Current(ctx)
+	return client, reply, err
+}
+
 // print writes value as JSON, or what people writes.
 func (o *OperatorOptions) print(w io.Writer, value any, people func()) error {
 	if !o.JSON {
@@ -68,6 +80,16 @@
 	}
 }
 
+// readConfig reads a configuration from the named file, or from the standard
+// input if it is "-".
+func readConfig(factory *Factory, name string) (bhconf.Config, error) {
+	data, err := readFile(factory, name)
+	if err != nil {
+		return bhconf.Config{}, err
+	}
+	return bhconf.ParseConfig(data)
+}
+
 // readFile reads the named file, or the standard input if it is "-".
 func readFile(factory *Factory, name string) ([]byte, error) {
 	if name == "-" {
--- a/bhpeer/socket.go
+++ b/bhpeer/socket.go
@@ -80,9 +80,12 @@
 	if err != nil {
 		return errors.Wrap(err, "listening for datagrams")
 	}
-	defer conn.Close()
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
-	defer stop()
+	defer func() {
+		if stop() {
+			_ = conn.Close()
+		}
+	}()
 	s.use(conn)
 	defer s.use(nil)
 	bhlog.Event(s.config.Logger, "peer.listening", "address", s.config.Address)
--- a/bhquota/limiter_test.go
+++ b/bhquota/limiter_test.go
@@ -275,6 +275,34 @@
 	assert.InDelta(t, level+bounds.rate-1, b.Level, 0.01)
 }
 
+func TestFewCallsAreMadeInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const seconds = 10
+		var down atomic.Bool
+		var calls atomic.Int64
+		store := bhstand.NewStore(bhstand.StoreConfig{Latency: 5 * time.Millisecond, Fault: func(bool) bhstand.Fault {
+			calls.Add(1)
+			if down.Load() {
+				return bhstand.Refuse
+			}
+			return bhstand.Serve
+		}})
+		f := newFleet(t, store, bhpolicy.Account{Name: "zoo", Rate: 40, Burst: 40})
+		f.add()
+		random := rand.New(rand.NewPCG(9, 9))
+		f.drive(random, "zoo", 30, 5*time.Second)
+		down.Store(true)
+		calls.Store(0)
+		f.drive(random, "zoo", 100, seconds*time.Second)
+		assert.LessOrEqual(t, calls.Load(), int64(seconds*time.Second/failedPause))
+		down.Store(false)
+		f.drive(random, "zoo", 30, time.Second)
+		asked, got := f.drive(random, "zoo", 20, 5*time.Second)
+		assert.Equal(t, asked, got, "all is served again")
+		f.close()
+	})
+}
+
 func TestSmallAccountsTakeFewCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const accounts, seconds = 10, 60
--- a/bhquota/sync.go
+++ b/bhquota/sync.go
@@ -24,6 +24,9 @@
 	contenderPause = 25 * time.Millisecond
 	// roundPause is the least time between two rounds.
 	roundPause = 10 * time.Millisecond
+	// failedPause is the least time after a round that failed: most outages last
+	// for seconds, and refused calls cost as much as others.
+	failedPause = 100 * time.Millisecond
 	// renewInterval is how often holdings are renewed, well within holdLimit.
 	renewInterval = 1500 * time.Millisecond
 	// basisLimit is how old the known record may be for a write on it; an older
@@ -225,6 +228,9 @@
 // pause waits until the next round is due. It reports false if ctx is done.
 func (s *syncer) pause(ctx context.Context) bool {
 	pause := roundPause
+	if s.failed {
+		pause = failedPause
+	}
 	if s.short {
 		// The bucket is empty; asking sooner is in vain.
 		pause = min(renewInterval, max(pause, time.Duration(s.contenders)*contenderPause))
