Log what the choice of an engine was based on; count tokens drawn and lent

Cause: request.done named the upstream, but not what was known of it when it was chosen.

Change: the line of a request says how many engines were asked and told their room, and the chosen one's slots, live requests, items and their age. quota_drawn and quota_lent count tokens between gateways.

--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -51,6 +51,7 @@
 
 	sends    int
 	upstream string
+	choice   choice
 	// job names the job that a call is about.
 	job string
 	// begun reports that the head of an answer was sent to the client, first is
@@ -265,6 +266,7 @@
 	pairs := []any{"request", c.id, "job", c.job, "route", route, "account", account, "policy", version,
 		"proof_age", c.gate.config.Clock.Now() - c.view.Proof, "sends", c.sends, "upstream", c.upstream,
 		"status", c.status, "bytes", c.bytes, "first", c.first, "took", time.Since(c.arrived)}
+	pairs = append(pairs, c.choice.pairs()...)
 	if err != nil {
 		bhlog.Problem(c.gate.config.Logger, event, err, pairs...)
 		return
--- a/bhgate/rig_test.go
+++ b/bhgate/rig_test.go
@@ -131,7 +131,7 @@
 	open.Name, open.Prefix, open.Public = "open", "/open/", true
 	r.policies.view = bhwatch.View{
 		Index: bhpolicy.NewIndex(&bhpolicy.Policy{
-			Version: 1, Routes: []bhpolicy.Route{route, open},
+			Version: 1, Routes: []bhpolicy.Route{route, open}, Services: []bhpolicy.Service{{Name: "s", Slots: 8}},
 			Accounts: []bhpolicy.Account{{Name: "zoo", Keys: []string{"k1"}, Rate: 5}},
 		}),
 		Proof: r.clock.Now(),
--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -59,6 +59,9 @@
 	config  Config
 	refused tally.Counter
 	taken   tally.Counter
+	// drawn counts tokens of other gateways, lent those given to them.
+	drawn tally.Counter
+	lent  tally.Counter
 	// added wakes Run for accounts that it doesn't follow yet.
 	added chan *syncer
 
@@ -72,6 +75,8 @@
 		config:  config,
 		refused: config.Scope.Counter("quota_refused"),
 		taken:   config.Scope.Counter("quota_taken"),
+		drawn:   config.Scope.Counter("quota_drawn"),
+		lent:    config.Scope.Counter("quota_lent"),
 		added:   make(chan *syncer),
 		syncs:   make(map[string]*syncer),
 	}
--- a/bhquota/peers.go
+++ b/bhquota/peers.go
@@ -83,7 +83,11 @@
 	s := l.syncs[account]
 	l.mu.Unlock()
 	if s != nil {
-		return s.lend()
+		drawn := s.lend()
+		if drawn.Granted {
+			l.lent.Inc(1)
+		}
+		return drawn
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), takeTimeout)
@@ -128,6 +132,7 @@
 				break
 			}
 			if drawn.Granted {
+				l.drawn.Inc(1)
 				// A host that was suspended meanwhile may hold an old answer.
 				return l.config.Clock.Now()-asked < lendMargin, true
 			}
