Answer 502 for a job whose acceptance has no settled outcome

Cause: found by reading. A submission whose write had no answer, and whose record could not be read back, was answered 409 (outcome_unknown, the code of keyed requests). Clients try again after a 5xx, not after a 4xx, so an accepted job could go unfollowed; and too many conflicts in a row gave 409 as well.

Ruled out: the gateway's own mapping (TestJobsAreAcceptedOnlyWhenStored has it, but for a code that the ledger never returned).

Change: the ledger returns platform_unknown, which is 502 when it may have run, and platform_unavailable with a time to come back after conflicts, in which nothing was written.

Test: TestUnsettledSubmissionsMayComeAgain, which failed before (409).

--- a/bhjob/ledger_test.go
+++ b/bhjob/ledger_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -66,6 +67,27 @@
 	assert.Empty(t, store.Records(jobTable))
 }
 
+// TestUnsettledSubmissionsMayComeAgain loses the reply of the first write and then
+// the store: the client has to be told so by an answer after which it tries again.
+func TestUnsettledSubmissionsMayComeAgain(t *testing.T) {
+	var writes atomic.Bool
+	store := bhstand.NewStore(bhstand.StoreConfig{Fault: func(write bool) bhstand.Fault {
+		switch {
+		case writes.Load():
+			return bhstand.Refuse
+		case write:
+			writes.Store(true)
+			return bhstand.Lose
+		}
+		return bhstand.Serve
+	}})
+	err := newLedger(store).Submit(t.Context(), sampleJob("j", 1))
+	failure := bhcode.From(err)
+	assert.Equal(t, bhcode.PlatformUnknown, failure.Code, "%v", err)
+	assert.Equal(t, bhcode.RanUnknown, failure.Ran)
+	assert.GreaterOrEqual(t, failure.Code.Info().Status, 500)
+}
+
 func TestSubmitValidates(t *testing.T) {
 	ledger := newLedger(bhstand.NewStore(bhstand.StoreConfig{}))
 	doubled := sampleJob("j", 2)
--- a/bhjob/submit.go
+++ b/bhjob/submit.go
@@ -63,14 +63,20 @@
 			bhlog.Problem(l.config.Logger, "job.unsettled", err, "job", submission.ID)
 			continue
 		case unknown:
-			return bhcode.Wrap(err, bhcode.OutcomeUnknown, "the job may have been accepted").WithRan(bhcode.RanUnknown)
+			return unsettled(err)
 		}
 		return err
 	}
 	if unknown {
-		return bhcode.New(bhcode.OutcomeUnknown, "the job may have been accepted").WithRan(bhcode.RanUnknown)
+		return unsettled(errors.Errorf("%d attempts had no settled outcome", changeTries))
 	}
-	return bhcode.New(bhcode.PlatformConflict, "other jobs of the account were accepted %d times meanwhile", changeTries)
+	return bhcode.New(bhcode.PlatformUnavailable, "other jobs of the account were accepted %d times meanwhile", changeTries).WithRetryAfter(writeRetry)
+}
+
+// unsettled returns the failure of a submission that may have been accepted. It
+// may come again: the same job is accepted once.
+func unsettled(err error) error {
+	return bhcode.Wrap(err, bhcode.PlatformUnknown, "the job may have been accepted").WithRan(bhcode.RanUnknown)
 }
 
 // accept makes one attempt to store the job with what is left of its payload.
