--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -44,20 +44,37 @@
 
 func init() { nextPort.Store(10_000 + rand.Int32N(10_000)) }
 
-// freePorts returns ports of the loopback that nobody listens on now.
+// freePorts returns consecutive ports of the loopback that nobody listens on now.
+// A process takes the port after its first internal one too, so that the ports of
+// two processes must not be mixed.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
-	var ports []int
-	for len(ports) < count {
-		port := int(nextPort.Add(1))
-		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err != nil {
-			continue
+	for {
+		last := int(nextPort.Add(int32(count)))
+		var ports []int
+		for port := last - count + 1; port <= last && isFree(port); port++ {
+			ports = append(ports, port)
 		}
-		require.NoError(t, listener.Close())
-		ports = append(ports, port)
+		if len(ports) == count {
+			return ports
+		}
+	}
+}
+
+// isFree reports whether nobody listens on the port, for connections or datagrams.
+func isFree(port int) bool {
+	address := fmt.Sprintf("127.0.0.1:%d", port)
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer listener.Close()
+	socket, err := net.ListenPacket("udp4", address)
+	if err != nil {
+		return false
 	}
-	return ports
+	defer socket.Close()
+	return true
 }
 
 func newProcess(t *testing.T, role, name, storeAddress, app string) *process {
