Print a story as JSON with the command line's own printJSON

Found on reading the change once more: story.go encoded JSON beside bhcmd's printJSON. The output is the same (TestStoryPrintsTheLinesOfOneRequest decodes it).

--- a/bhcmd/story.go
+++ b/bhcmd/story.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"os"
@@ -69,9 +68,7 @@
 		return errors.Errorf("none of %d lines names %q", len(lines), id)
 	}
 	if options.JSON {
-		encoder := json.NewEncoder(factory.Streams.Out)
-		encoder.SetIndent("", "  ")
-		return errors.Wrap(encoder.Encode(told), "printing")
+		return printJSON(factory.Streams.Out, told)
 	}
 	return printStory(factory.Streams.Out, told)
 }
