--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -38,6 +38,29 @@
 	Reuse bool
 }
 
+// Framing is how the end of an answer's body is marked.
+type Framing string
+
+// Framings of an answer.
+const (
+	FramedByLength Framing = "length"
+	FramedByChunks Framing = "chunks"
+	// FramedByClose marks a body that ends with its connection: an orderly close
+	// can't be told from that of an upstream that broke off.
+	FramedByClose Framing = "close"
+)
+
+// framingOf returns the framing of the response's body.
+func framingOf(response *http.Response) Framing {
+	switch {
+	case response.ContentLength >= 0:
+		return FramedByLength
+	case len(response.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // Answer is an upstream's response. The caller must call Close after it has read
 // Body.
 type Answer struct {
@@ -45,7 +68,8 @@
 	Header http.Header
 	Body   io.Reader
 	// Length is the declared length of Body in bytes, or -1 if it is unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 	// Reused reports that the request was sent on an idle connection of the pool.
 	Reused bool
 
@@ -110,7 +134,7 @@
 	if timeout, ok := keepAliveTimeout(response.Header); ok {
 		c.idleTimeout = min(c.idleTimeout, timeout)
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, pool: p, conn: c, reusable: reusable}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framingOf(response), pool: p, conn: c, reusable: reusable}
 	answer.Body = &bodyReader{body: response.Body, answer: answer}
 	return answer, nil
 }
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -62,7 +63,9 @@
 	sends int
 	// upstream is the ID of the instance of the last of these attempts.
 	upstream string
-	choice   engineChoice
+	// framing is that of the last answer of an upstream.
+	framing bhforward.Framing
+	choice  engineChoice
 	// jobID is the ID of the job that the call submits, reads or ends.
 	jobID string
 	// headSent is set when the head of an answer is sent to the client; headDelay
@@ -298,7 +301,7 @@
 	}
 	pairs := []any{"request", c.id, "job", c.jobID, "route", route, "account", account, "policy", version,
 		"proof_age", c.gate.config.Clock.Now() - c.view.ProvenAt, "sends", c.sends, "upstream", c.upstream,
-		"status", c.status, "bytes", c.bytes, "first", c.headDelay, "took", time.Since(c.arrived)}
+		"status", c.status, "framing", c.framing, "bytes", c.bytes, "first", c.headDelay, "took", time.Since(c.arrived)}
 	pairs = append(pairs, c.choice.logPairs()...)
 	if err != nil {
 		bhlog.Problem(c.gate.config.Logger, event, err, pairs...)
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -232,6 +232,7 @@
 		}
 		return nil, err
 	}
+	c.framing = answer.Framing
 	timer.reset()
 	if c.gate.config.Dialect.IsLeaving(answer) {
 		c.gate.config.Policies.MarkLeaving(instance)
