--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -44,6 +44,8 @@
 	// abortAfter is the number of events after which the next stream is
 	// aborted; zero means never.
 	abortAfter int
+	// next answers the next request instead, if it isn't nil.
+	next func(w http.ResponseWriter, r *http.Request)
 	// live is the reported number of running live requests, waiting that of
 	// waiting requests.
 	live, waiting int
@@ -83,10 +85,15 @@
 	if e.leaving {
 		w.Header().Set(dialect.Leaving, "1")
 	}
-	e.abortAfter = 0
+	next := e.next
+	e.abortAfter, e.next = 0, nil
 	e.running++
 	e.mu.Unlock()
 	defer e.set(func(e *fakeEngine) { e.running-- })
+	if next != nil {
+		next(w, r)
+		return
+	}
 	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
 	if status != http.StatusOK {
 		w.WriteHeader(status)
