A stream that ends inside an event has broken off

Cause: bhevent.Reader took io.EOF of its source for the end of the stream and returned the bytes after the last blank line, complete event or not. On an answer with neither a length nor chunks, io.EOF only says that the connection was closed in an orderly way, which an engine that crashes does too. The gate then ended its own, chunked answer as complete; a runner listed the item as completed. The class: the end of a connection taken for the end of an answer.

Ruled out: bytes lost in the gate (a reset lost none: the broken streams end between events, as they should).

Now the reader decides by the events: it returns io.ErrUnexpectedEOF for a stream that ends inside an event, in any framing, and for one that ends with its connection before any event. The gate resumes the stream where it may, or breaks the caller's connection; a runner resumes the item after its last complete event. An answer that is declared as data of another kind, such as JSON, is no stream of events, and its framing decides as before.

TestReaderReturnsCompleteEvents expected the partial event at a regular end; it now expects the opposite and checks more ends. Tests of the choice of engines answered a streaming route with a body that is no event; they stream one event now and check as much.

--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -61,31 +61,45 @@
 }
 
 // A read of a stream may end in the middle of an event. An incomplete event is
-// passed on only at the regular end of the stream, not when the stream breaks:
-// the resumed stream would repeat it.
+// never passed on: the resumed stream would repeat it.
 func TestReaderReturnsCompleteEvents(t *testing.T) {
 	broken := errors.New("broken")
 	for _, c := range []struct {
+		rest string
 		err  error
-		want string
-		last string
+		want error
 	}{
-		{io.EOF, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c", "3"},
-		{broken, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "2"},
+		{"", io.EOF, io.EOF},
+		{"id: 3\ndata: c", io.EOF, io.ErrUnexpectedEOF},
+		{"id: 3\ndata: c\n", io.EOF, io.ErrUnexpectedEOF},
+		{"id: 3\ndata: c", broken, broken},
 	} {
 		progress := &Progress{}
-		reader := NewReader(&chunkReader{parts: []string{"id: 1\nda", "ta: a\n\nid: 2\ndata: b\n\nid", ": 3\ndata: c"}, err: c.err}, progress)
-		var got string
-		for {
-			events, err := reader.Next()
-			got += string(events)
-			if err != nil {
-				require.ErrorIs(t, err, c.err)
-				break
-			}
+		source := &chunkReader{parts: []string{"id: 1\nda", "ta: a\n\nid: 2\ndata: b\n\n" + c.rest}, err: c.err}
+		got, err := readEvents(NewReader(ReaderConfig{Source: source, Progress: progress}))
+		require.ErrorIs(t, err, c.want, "%q", c.rest)
+		assert.Equal(t, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", got)
+		assert.Equal(t, "2", progress.Last)
+	}
+}
+
+// The end of a connection proves nothing about a stream without any event.
+func TestReaderOfUnframedStreamNeedsAnEvent(t *testing.T) {
+	for unframed, want := range map[bool]error{false: io.EOF, true: io.ErrUnexpectedEOF} {
+		_, err := readEvents(NewReader(ReaderConfig{Source: &chunkReader{err: io.EOF}, Progress: &Progress{}, EndsWithConnection: unframed}))
+		require.ErrorIs(t, err, want)
+	}
+}
+
+// readEvents returns the events up to the first error.
+func readEvents(reader *Reader) (string, error) {
+	var got string
+	for {
+		events, err := reader.Next()
+		got += string(events)
+		if err != nil {
+			return got, err
 		}
-		assert.Equal(t, c.want, got)
-		assert.Equal(t, c.last, progress.Last)
 	}
 }
 
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -1,47 +1,77 @@
 package bhevent
 
-import "io"
+import (
+	"io"
+
+	"github.com/pkg/errors"
+)
 
 // readBufferSize is the number of bytes that one read returns at most.
 const readBufferSize = 8 << 10
 
+// ReaderConfig configures a Reader.
+type ReaderConfig struct {
+	// Source returns io.EOF at the end of the stream.
+	Source io.Reader
+	// Progress records the events. It outlives the reader and is used again for the
+	// resumed stream.
+	Progress *Progress
+	// EndsWithConnection says that io.EOF means no more than that the connection was
+	// closed. The stream must then have at least one event.
+	EndsWithConnection bool
+}
+
 // Reader reads complete events from a stream that may break off in the middle of
 // an event.
 type Reader struct {
-	source   io.Reader
-	progress *Progress
-	buffer   []byte
+	config ReaderConfig
+	buffer []byte
 	// pending holds the bytes that were read, from the start of an event on.
 	pending []byte
 	// returned is the length of the events at the start of pending that the last
 	// Next returned.
 	returned int
+	// received reports whether any event was returned.
+	received bool
 }
 
-// NewReader returns a reader of the stream. It records the events in progress,
-// which outlives the reader and is used again for the resumed stream.
-func NewReader(source io.Reader, progress *Progress) *Reader {
-	return &Reader{source: source, progress: progress, buffer: make([]byte, readBufferSize)}
+// NewReader returns a reader of the stream.
+func NewReader(config ReaderConfig) *Reader {
+	return &Reader{config: config, buffer: make([]byte, readBufferSize)}
 }
 
 // Next reads the stream once and returns the complete events that are now
 // available, if any. The bytes are valid until the next call.
 //
-// At the regular end of the stream, it returns the remaining bytes, complete
-// event or not, with io.EOF. If the stream breaks, an incomplete last event is
-// dropped. Next also fails if a resumed stream doesn't continue after the last
-// event (see Progress). Any error ends the stream.
+// At the end of the stream, it returns the last events with io.EOF. A stream that
+// ends inside an event has broken off, whatever its source says: the incomplete
+// event is dropped and the error is io.ErrUnexpectedEOF. Next also fails if a
+// resumed stream doesn't continue after the last event (see Progress). Any error
+// ends the stream.
 func (r *Reader) Next() ([]byte, error) {
 	r.pending = append(r.pending[:0], r.pending[r.returned:]...)
-	n, err := r.source.Read(r.buffer)
+	n, err := r.config.Source.Read(r.buffer)
 	r.pending = append(r.pending, r.buffer[:n]...)
 	r.returned = CompleteLength(r.pending)
-	if err == io.EOF {
-		r.returned = len(r.pending)
-	}
 	events := r.pending[:r.returned]
-	if progressErr := r.progress.Advance(events); progressErr != nil {
+	if progressErr := r.config.Progress.Advance(events); progressErr != nil {
 		return nil, progressErr
 	}
+	r.received = r.received || len(events) > 0
+	if err == io.EOF {
+		return events, r.checkEnd()
+	}
 	return events, err
 }
+
+// checkEnd returns io.EOF if the stream may end here, otherwise an error that wraps
+// io.ErrUnexpectedEOF.
+func (r *Reader) checkEnd() error {
+	switch partial := len(r.pending) - r.returned; {
+	case partial > 0:
+		return errors.Wrapf(io.ErrUnexpectedEOF, "the stream ended %d bytes into an event", partial)
+	case r.config.EndsWithConnection && !r.received:
+		return errors.Wrap(io.ErrUnexpectedEOF, "the connection ended before the first event")
+	}
+	return io.EOF
+}
--- a/bhgate/admission_test.go
+++ b/bhgate/admission_test.go
@@ -37,7 +37,7 @@
 }
 
 func TestRequestIsRefusedAtOnceIfAllEnginesAreFull(t *testing.T) {
-	upstream := newUpstream(t, answerOK)
+	upstream := newUpstream(t, answerEvent)
 	g, engineLoads := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Live: 12}}, upstream)
 	started := time.Now()
 	response, body, err := g.do(g.request("/a/x"))
@@ -54,7 +54,7 @@
 }
 
 func TestRequestWaitsAtFullEngineIfItIsInTime(t *testing.T) {
-	upstream := newUpstream(t, answerOK)
+	upstream := newUpstream(t, answerEvent)
 	g, _ := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Live: 8}}, upstream)
 	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")), "a slot is free after 100 ms")
 	assert.Equal(t, 1, upstream.count())
@@ -64,7 +64,7 @@
 	loads := make(map[netip.AddrPort]bhwire.Room)
 	var upstreams []*fakeUpstream
 	for i := range 4 * engineSampleSize {
-		upstreams = append(upstreams, newUpstream(t, answerOK))
+		upstreams = append(upstreams, newUpstream(t, answerEvent))
 		loads[runnerAddress(i)] = bhwire.Room{Slots: 8, Live: 20}
 	}
 	free := len(upstreams) - 1
@@ -79,7 +79,7 @@
 func TestEngineWithoutKnownLoadTakesRequests(t *testing.T) {
 	for name, load := range map[string]bhwire.Room{"runner without a list": {}, "engine that doesn't answer its runner": {Slots: 8, Live: 30, Age: time.Second}} {
 		t.Run(name, func(t *testing.T) {
-			upstream := newUpstream(t, answerOK)
+			upstream := newUpstream(t, answerEvent)
 			g, _ := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): load}, upstream)
 			assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")))
 		})
@@ -143,7 +143,7 @@
 	for name, c := range map[string]struct {
 		handler func(http.ResponseWriter, *http.Request, int)
 		faults  int
-	}{"errors": {fail, 1}, "reset": {reset, 1}, "hang": {hang, 1}, "refusal": {refuse, 0}, "answer": {answerOK, 0}} {
+	}{"errors": {fail, 1}, "reset": {reset, 1}, "hang": {hang, 1}, "refusal": {refuse, 0}, "answer": {answerEvent, 0}} {
 		t.Run(name, func(t *testing.T) {
 			g, engineLoads := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8}}, newUpstream(t, c.handler))
 			_, _, _ = g.do(g.request("/a/x"))
@@ -156,7 +156,7 @@
 // Workers that lie about their health report no load, which makes them the first
 // choice of all gateways.
 func TestSuspectEngineIsChosenAfterFullOnes(t *testing.T) {
-	suspect, busy := newUpstream(t, answerOK), newUpstream(t, answerOK)
+	suspect, busy := newUpstream(t, answerEvent), newUpstream(t, answerEvent)
 	g, _ := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Suspect: true}, runnerAddress(1): {Slots: 8, Live: 8}}, suspect, busy)
 	for range 4 {
 		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")))
@@ -165,7 +165,7 @@
 }
 
 func TestOnlySuspectEnginesStillTakeRequests(t *testing.T) {
-	suspect := newUpstream(t, answerOK)
+	suspect := newUpstream(t, answerEvent)
 	g, _ := newEngineGate(t, map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Suspect: true}}, suspect)
 	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")))
 }
--- a/bhgate/choose_upstream_test.go
+++ b/bhgate/choose_upstream_test.go
@@ -61,7 +61,7 @@
 		{"no engine reports its load", nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			upstreams := []*fakeUpstream{newUpstream(t, answerOK), newUpstream(t, answerOK)}
+			upstreams := []*fakeUpstream{newUpstream(t, answerEvent), newUpstream(t, answerEvent)}
 			g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, upstreams...)
 			var log bytes.Buffer
 			logger, err := bhlog.New(&log, bhlog.Info)
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -192,7 +193,7 @@
 		c.gate.config.Balancer.Answered(instance.ID)
 	}
 	switch {
-	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming:
+	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming && isEventStream(answer.Header):
 		return false, c.relayStream(ctx, current)
 	case answer.Status >= 500 && c.route.Repeatable() && c.sends < c.route.MaxAttempts:
 		return true, bhcode.New(bhcode.UpstreamFailed, "upstream %s answered %d", instance.ID, answer.Status).WithRan(bhcode.RanYes)
@@ -277,6 +278,14 @@
 	return bhadmit.RetryAfter(time.Until(c.deadline), 0)
 }
 
+// isEventStream reports whether the answer with the header is a stream of events.
+// Upstreams don't always declare one, so only an answer that is declared as data of
+// another kind, such as JSON, isn't.
+func isEventStream(header http.Header) bool {
+	kind, _, _ := strings.Cut(header.Get("Content-Type"), "/")
+	return kind == "" || strings.EqualFold(strings.TrimSpace(kind), "text")
+}
+
 // meansNotRun reports whether the status tells a client that its request did not
 // run.
 func meansNotRun(status int) bool {
--- a/bhgate/framing_test.go
+++ b/bhgate/framing_test.go
@@ -81,3 +81,15 @@
 		assert.Equal(t, wholeStream(7), body, framing)
 	}
 }
+
+// An answer on a streaming route that is declared as data of another kind has no
+// events that could be incomplete; its framing decides.
+func TestAnswerThatIsNoStreamIsRelayedOnStreamingRoute(t *testing.T) {
+	for _, framing := range framings {
+		u := newUpstream(t, framedAnswer(framing, "200 OK\r\nContent-Type: application/json", `{"text": "whole"}`))
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, u)
+		_, body, err := g.do(g.request("/a/x"))
+		require.NoError(t, err, framing)
+		assert.Equal(t, `{"text": "whole"}`, body, framing)
+	}
+}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhevent"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 )
 
@@ -65,7 +66,9 @@
 // relayEvents relays complete events until the stream ends. An incomplete event
 // at the end of a broken stream is dropped.
 func (c *call) relayEvents(current *attempt, progress *bhevent.Progress) error {
-	reader := bhevent.NewReader(current.answer.Body, progress)
+	reader := bhevent.NewReader(bhevent.ReaderConfig{
+		Source: current.answer.Body, Progress: progress, EndsWithConnection: current.answer.Framing == bhforward.FramedByClose,
+	})
 	for {
 		events, err := reader.Next()
 		if err == nil {
--- a/bhgate/stream_test.go
+++ b/bhgate/stream_test.go
@@ -35,6 +35,9 @@
 	}
 }
 
+// answerEvent streams one event.
+var answerEvent = streamEvents(1, 0)
+
 // wholeStream returns the text of the events 1 to last.
 func wholeStream(last int) string {
 	text := ""
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -359,7 +359,9 @@
 	if progress.Last != "" {
 		progress.Resume()
 	}
-	reader := bhevent.NewReader(answer.Body, progress)
+	reader := bhevent.NewReader(bhevent.ReaderConfig{
+		Source: answer.Body, Progress: progress, EndsWithConnection: answer.Framing == bhforward.FramedByClose,
+	})
 	for {
 		events, err := reader.Next()
 		stall.Reset(stallTimeout)
