A plain service's stream that ends inside an event isn't complete either

A stream of events that broke off reached its caller as complete, and under an idempotency key it was stored as the answer of the request.

The sidecar now checks a declared stream of events with bhevent.CheckedReader: inside an event, or at the end of the connection before any event, the answer has broken off. It drops the stream's length, with which the caller would have taken the answer for complete before the check.

Answers of chats were safe: they need the engine's end marker.

Both tests fail without the change, in each framing, and pass with it.

--- /dev/null
+++ b/bhentry/framing_test.go
@@ -0,0 +1,75 @@
+package bhentry_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	wholeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+	cutEvents   = wholeEvents + "id: 3\nda"
+)
+
+// eventService answers with events, in the framing that the query names: length,
+// chunks or close. With the query cut, or the body "cut", the answer ends inside an
+// event. The connection is closed in an orderly way.
+func eventService(w http.ResponseWriter, r *http.Request) {
+	request, err := io.ReadAll(r.Body)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+	query := r.URL.Query()
+	body := wholeEvents
+	if string(request) == "cut" || query.Has("cut") {
+		body = cutEvents
+	}
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	defer conn.Close()
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	switch query.Get("framing") {
+	case "length":
+		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	case "chunks":
+		fmt.Fprintf(conn, "%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+	default:
+		fmt.Fprintf(conn, "%s\r\n%s", head, body)
+	}
+}
+
+// Guards against a plain service's stream that broke off inside an event and
+// reached its caller as complete.
+func TestPlainStreamThatEndsInsideEventIsNotComplete(t *testing.T) {
+	cluster := newTestCluster(t, http.HandlerFunc(eventService))
+	for _, framing := range []string{"length", "chunks", "close"} {
+		status, body, err := cluster.fetch(http.MethodGet, "/svc/x?framing="+framing)
+		require.NoError(t, err, framing)
+		assert.Equal(t, http.StatusOK, status, framing)
+		assert.Equal(t, wholeEvents, body, framing)
+		status, _, err = cluster.fetch(http.MethodGet, "/svc/x?cut&framing="+framing)
+		assert.True(t, err != nil || status >= 500, "%s: status %d", framing, status)
+	}
+}
+
+// Guards against an answer that broke off inside an event and was stored under its
+// idempotency key as the answer of the request.
+func TestPartOfAStreamIsNotStoredUnderItsKey(t *testing.T) {
+	cluster := newTestCluster(t, http.HandlerFunc(eventService))
+	for range 2 {
+		status, body, err := cluster.postWithKey(t.Context(), "k1", "cut")
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, status, 400, body)
+		assert.NotContains(t, body, "data: a")
+	}
+	status, body, err := cluster.postWithKey(t.Context(), "k2", "whole")
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusOK, status)
+	assert.Equal(t, wholeEvents, body)
+}
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -50,8 +50,8 @@
 	FramedByClose Framing = "close"
 )
 
-// framingOf returns the framing of the response's body.
-func framingOf(response *http.Response) Framing {
+// FramingOf returns the framing of the response's body.
+func FramingOf(response *http.Response) Framing {
 	switch {
 	case response.ContentLength >= 0:
 		return FramedByLength
@@ -134,7 +134,7 @@
 	if timeout, ok := keepAliveTimeout(response.Header); ok {
 		c.idleTimeout = min(c.idleTimeout, timeout)
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: framingOf(response), pool: p, conn: c, reusable: reusable}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: FramingOf(response), pool: p, conn: c, reusable: reusable}
 	answer.Body = &bodyReader{body: response.Body, answer: answer}
 	return answer, nil
 }
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhevent"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -77,13 +80,14 @@
 // forward sends the upstream's answer to the entry, within the credit that the
 // entry grants.
 func (s *stream) forward(ctx context.Context, run trackedRun, response *http.Response, monitor *liveMonitor) bhwire.End {
+	body := answerBody(response)
 	head := bhwire.Head{Status: response.StatusCode, Header: response.Header}
 	if err := s.session.link.SendMessage(ctx, bhwire.KindHead, s.id, head); err != nil {
 		return endFromError(brokenAnswer(err))
 	}
 	buffer := make([]byte, readBufferSize)
 	for {
-		n, err := response.Body.Read(buffer)
+		n, err := body.Read(buffer)
 		if n > 0 {
 			s.bodyStarted = true
 			monitor.chunkReceived(time.Now())
@@ -101,6 +105,18 @@
 	}
 }
 
+// answerBody returns the body of the answer. Reading it fails at the end of a stream
+// of events that broke off, whatever its framing. It removes the length of a stream,
+// with which the caller would take the answer for complete before that end.
+func answerBody(response *http.Response) io.Reader {
+	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
+	if err != nil || kind != "text/event-stream" {
+		return response.Body
+	}
+	response.Header.Del("Content-Length")
+	return bhevent.NewCheckedReader(response.Body, bhforward.FramingOf(response) == bhforward.FramedByClose)
+}
+
 // successEnd returns the end frame of a complete answer. It carries the changes
 // of the upstream's prefix cache if that is the upstream that the entry chose.
 func (s *stream) successEnd(upstream *upstream) bhwire.End {
