Reset the connection of an aborted answer that ends with its connection

The gate, the entry and the batch API aborted an answer that they couldn't complete by closing the connection, an orderly end for such a caller. bhserve.Abort resets it instead; callers of HTTP/1.1 see the missing last chunk as before, and lose no event that was sent.

--- a/bhbatch/handler.go
+++ b/bhbatch/handler.go
@@ -14,6 +14,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 )
 
 // Paths and headers of the batch API.
@@ -196,7 +197,7 @@
 	c.Response().WriteHeader(http.StatusOK)
 	if _, err := io.Copy(c.Response(), body); err != nil {
 		bhlog.Problem(h.logger, "batch.content", err, "file", c.Param("id"))
-		panic(http.ErrAbortHandler)
+		bhserve.Abort(c.Response(), c.Request())
 	}
 	return nil
 }
--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -14,6 +14,7 @@
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 )
 
 // maxBodyBytes is the largest request body that readBody accepts.
@@ -116,7 +117,7 @@
 			c.Response().Flush()
 		}
 	}
-	panic(http.ErrAbortHandler)
+	bhserve.Abort(c.Response(), c.Request())
 }
 
 // toCodeError converts err, which may be from the echo router, to a
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -13,6 +13,7 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -236,7 +237,7 @@
 	case c.headSent:
 		// Breaking the connection keeps the answer from looking complete.
 		c.log("request.broken", err)
-		panic(http.ErrAbortHandler)
+		bhserve.Abort(c.w, c.r)
 	default:
 		c.writeFailure(bhcode.From(err))
 		c.log("request.failed", err)
@@ -284,7 +285,7 @@
 	if failure, ok := reason.(error); !ok || !errors.Is(failure, http.ErrAbortHandler) {
 		bhlog.Problem(c.gate.config.Logger, "request.panic", errors.Errorf("%+v", reason), "request", c.id)
 	}
-	panic(http.ErrAbortHandler)
+	bhserve.Abort(c.w, c.r)
 }
 
 func (c *call) log(event string, err error) {
--- a/bhgate/framing_test.go
+++ b/bhgate/framing_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -93,3 +96,25 @@
 		assert.Equal(t, `{"text": "whole"}`, body, framing)
 	}
 }
+
+// Guards against a caller of HTTP/1.0, to whom an answer ends with its connection,
+// that takes a broken stream for a complete one.
+func TestBrokenStreamIsBrokenForOldCallersToo(t *testing.T) {
+	for rest, whole := range map[string]bool{"": true, "id: 8": false} {
+		u := newUpstream(t, framedAnswer(bhforward.FramedByClose, "200 OK", wholeStream(7)+rest))
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, u)
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := &http.Server{Handler: g.gate, ReadHeaderTimeout: time.Minute}
+		go func() {
+			_ = server.Serve(&idleListener{Listener: listener, idleTimeout: func() time.Duration { return time.Minute }})
+		}()
+		conn, err := net.Dial("tcp", listener.Addr().String())
+		require.NoError(t, err)
+		fmt.Fprint(conn, "GET /open/x HTTP/1.0\r\nHost: one.example\r\nRequest-Id: r1\r\n\r\n")
+		_, err = io.ReadAll(conn)
+		assert.Equal(t, whole, err == nil, "%q: %v", rest, err)
+		require.NoError(t, conn.Close())
+		require.NoError(t, server.Close())
+	}
+}
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -161,6 +161,9 @@
 	idleTimeout func() time.Duration
 }
 
+// NetConn returns the connection that is wrapped.
+func (c *idleConn) NetConn() net.Conn { return c.Conn }
+
 // SetReadDeadline implements net.Conn. It replaces a deadline that http.Server
 // derived from the placeholder by one from the policy.
 func (c *idleConn) SetReadDeadline(deadline time.Time) error {
