--- a/bhplatform/client.go
+++ b/bhplatform/client.go
@@ -189,10 +189,14 @@
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.PlatformUnknown, "object "+name)
 	}
-	if response.StatusCode == http.StatusOK {
+	if response.StatusCode == http.StatusOK && (response.ContentLength >= 0 || len(response.TransferEncoding) > 0) {
 		return response.Body, nil
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		// The end of the connection would not show that a part is missing.
+		return nil, bhcode.New(bhcode.PlatformUnknown, "the reply for object %s has neither a length nor chunks", name)
+	}
 	data, err := io.ReadAll(io.LimitReader(response.Body, MaxReply))
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.PlatformUnknown, "object "+name)
