Log the software version of an upstream and what a client takes up again

An upstream's record is read with the version of its software, which upstream.listed and the lines of requests name. The lines of a request that takes a stream up name its last event and the attempt that brought the first.

--- a/bhforward/dialect.go
+++ b/bhforward/dialect.go
@@ -20,6 +20,9 @@
 	Leaving string
 	// LastEvent holds the ID of the event after which a stream resumes.
 	LastEvent string
+	// Resumes holds the request ID of the attempt that brought a client the first
+	// event of the stream that it resumes.
+	Resumes string
 	// KeyHeader carries the caller's key. Key extracts the key from a header and
 	// returns "" if there is none.
 	KeyHeader string
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -64,6 +64,8 @@
 	sends int
 	// upstream is the ID of the instance of the last of these attempts.
 	upstream string
+	// version is that of the instance's software.
+	version string
 	// framing is that of the last answer of an upstream.
 	framing bhforward.Framing
 	choice  engineChoice
@@ -301,9 +303,12 @@
 		version = c.view.Index.Policy.Version
 	}
 	pairs := []any{"request", c.id, "job", c.jobID, "route", route, "account", account, "policy", version,
-		"proof_age", c.gate.config.Clock.Now() - c.view.ProvenAt, "sends", c.sends, "upstream", c.upstream,
+		"proof_age", c.gate.config.Clock.Now() - c.view.ProvenAt, "sends", c.sends, "upstream", c.upstream, "version", c.version,
 		"status", c.status, "framing", c.framing, "bytes", c.bytes, "first", c.headDelay, "took", time.Since(c.arrived)}
 	pairs = append(pairs, c.choice.logPairs()...)
+	if lastEvent := c.r.Header.Get(c.gate.config.Dialect.LastEvent); lastEvent != "" {
+		pairs = append(pairs, "after", lastEvent, "resumes", c.r.Header.Get(c.gate.config.Dialect.Resumes))
+	}
 	if err != nil {
 		bhlog.Problem(c.gate.config.Logger, event, err, pairs...)
 		return
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -222,7 +222,7 @@
 	}
 	if ran != bhcode.RanNo {
 		c.sends++
-		c.upstream = instance.ID
+		c.upstream, c.version = instance.ID, instance.Version
 	}
 	if err != nil {
 		timer.stop()
--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -85,7 +85,7 @@
 		delete(t.graceEnds, instance.ID)
 		if old, ok := t.known[instance.ID]; !ok || old != instance {
 			bhlog.Event(logger, "upstream.listed", "upstream", instance.ID, "service", instance.Service,
-				"address", instance.Address, "draining", instance.Draining, "born", instance.Born)
+				"address", instance.Address, "version", instance.Version, "draining", instance.Draining, "born", instance.Born)
 		}
 		t.known[instance.ID] = instance
 	}
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -47,6 +47,9 @@
 	Service string
 	Address string
 	Zone    string
+	// Version is that of the upstream's software. Instances of several versions may
+	// serve side by side.
+	Version string
 	Slots   int
 	// Draining is true if the instance finishes the requests that it has and
 	// must get no new ones.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -349,7 +349,7 @@
 	born := e.born
 	e.mu.Unlock()
 	require.NoError(w.t, w.store.put("servers", e.id, map[string]any{
-		"service": "llm", "address": e.address, "zone": "z", "slots": engineSlots, "state": state, "born": born,
+		"service": "llm", "address": e.address, "zone": "z", "version": "v1", "slots": engineSlots, "state": state, "born": born,
 	}))
 }
 
