--- a/bhgate/helpers_test.go
+++ b/bhgate/helpers_test.go
@@ -24,7 +24,7 @@
 
 var testDialect = bhforward.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Account: "Account",
-	NotRun: "Not-Run", Leaving: "Leaving", LastEvent: "Last-Event-Id", KeyHeader: "Authorization",
+	NotRun: "Not-Run", Leaving: "Leaving", LastEvent: "Last-Event-Id", Resumes: "Resumes", KeyHeader: "Authorization",
 	Key: func(header http.Header) string { return strings.TrimPrefix(header.Get("Authorization"), "Key ") },
 }
 
--- /dev/null
+++ b/bhgate/version_test.go
@@ -0,0 +1,109 @@
+package bhgate
+
+import (
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
+)
+
+var resumableRoute = bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 3}
+
+// setVersions sets the versions of the upstreams, in their order. An upstream with
+// an empty version isn't listed any more.
+func (g *testGate) setVersions(versions ...string) {
+	g.policies.update(func(p *fakePolicies) {
+		var listed []bhwatch.Instance
+		for i, instance := range p.view.Fleet["s"] {
+			if instance.Version = versions[i]; instance.Version != "" {
+				listed = append(listed, instance)
+			}
+		}
+		p.view.Fleet = map[string][]bhwatch.Instance{"s": listed}
+	})
+}
+
+// takeUp returns a change of a request by which its client takes up the stream that
+// the attempt began, after the event.
+func takeUp(attempt, event string) func(*http.Request) {
+	return func(request *http.Request) {
+		request.Header.Set("Request-Id", "again-"+attempt)
+		request.Header.Set("Resumes", attempt)
+		request.Header.Set("Last-Event-Id", event)
+	}
+}
+
+// Guards against a stream that a gateway resumed at an engine of another software
+// version within one answer.
+func TestBrokenStreamResumesOnlyAtItsVersion(t *testing.T) {
+	first, newer, same := newUpstream(t, streamEvents(20, 7)), newUpstream(t, streamEvents(20, 0)), newUpstream(t, streamEvents(20, 0))
+	g := newTestGate(t, resumableRoute, first, newer, same)
+	g.setVersions("v1", "v1.1", "v1")
+	_, body, err := g.do(g.request("/a/x"))
+	require.NoError(t, err)
+	assert.Equal(t, wholeStream(20), body)
+	assert.Equal(t, 1, same.count())
+
+	first, newer = newUpstream(t, streamEvents(20, 7)), newUpstream(t, streamEvents(20, 0))
+	g = newTestGate(t, resumableRoute, first, newer)
+	g.setVersions("v1", "v1.1")
+	_, body, err = g.do(g.request("/a/x"))
+	require.Error(t, err)
+	assert.Equal(t, wholeStream(7), body)
+	assert.Zero(t, newer.count())
+}
+
+// Guards against a stream that a client took up again and that went on at an engine
+// of another software version.
+func TestClientTakesStreamUpOnlyAtItsVersion(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		versions []string
+		want     int
+	}{
+		{"its version serves", []string{"", "v1.1", "v1"}, http.StatusOK},
+		{"its version is gone", []string{"", "v1.1", ""}, http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, newer, same := newUpstream(t, streamEvents(20, 7)), newUpstream(t, streamEvents(20, 0)), newUpstream(t, streamEvents(20, 0))
+			route := resumableRoute
+			route.MaxAttempts = 1
+			g := newTestGate(t, route, first, newer, same)
+			g.setVersions("v1", "v1.1", "v1")
+			_, body, err := g.do(g.request("/a/x"))
+			require.Error(t, err)
+			require.Equal(t, wholeStream(7), body)
+
+			g.setVersions(c.versions...)
+			assert.Equal(t, c.want, g.status(g.request("/a/x", takeUp("r1", "7"))))
+			assert.Zero(t, newer.count())
+			if c.want == http.StatusOK {
+				assert.Equal(t, 1, same.count())
+			}
+		})
+	}
+}
+
+// Guards against a stream of unknown origin, such as one from before a restart, that
+// went on at any version.
+func TestStreamOfUnknownVersionIsTakenUpOnlyIfThereIsOne(t *testing.T) {
+	for _, c := range []struct {
+		versions []string
+		want     int
+	}{
+		{[]string{"v1", "v1"}, http.StatusOK},
+		{[]string{"v1", "v1.1"}, http.StatusServiceUnavailable},
+	} {
+		first, second := newUpstream(t, streamEvents(20, 0)), newUpstream(t, streamEvents(20, 0))
+		g := newTestGate(t, resumableRoute, first, second)
+		g.setVersions(c.versions...)
+		assert.Equal(t, c.want, g.status(g.request("/a/x", takeUp("unknown", "7"))), c.versions)
+		if c.want != http.StatusOK {
+			assert.Zero(t, first.count()+second.count())
+		}
+	}
+}
