A stream goes on only at the software version that began it

Cause: the design took all upstreams of a service for the same. No process read the version of an engine's software, so nothing could tell at which one a stream began: neither the gateway that resumes it within an answer, nor the one to which a client comes back. The class: parts of a stream are joined by position alone, without a check that their sources fit together.

Ruled out: a record that names another engine's version, since a request names the instance and each start in the operator's log has an ID of its own.

What was built: a gateway records service and version of each resumable stream before its first byte, in memory and at two other gateways that a hash of account and request chooses (bhorigin, two datagrams of 60 bytes). A gateway to which a client comes back asks three of them, then twelve, and sends the request only to upstreams of that version; resumes within an answer follow the same rule. If nobody knows the stream, it goes on only if the service had upstreams of one version for two timeouts of the route, by a list that is fresh; otherwise it is refused at once, with 503. Writing each stream to the store was ruled out by its rate: 3,700 streams/s against 1,000 to 1,500 writes/s.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/baobabhaven/baobabhaven/bhjob"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
+	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
@@ -244,6 +245,10 @@
 		Scope:  h.metrics.Scope,
 	})
 	limiter.RegisterHandler(socket)
+	origins := bhorigin.NewRegistry(bhorigin.Config{
+		Peers: bhorigin.PeerGateways{Directory: directory, Socket: socket}, Clock: h.clock, Logger: h.logger, Scope: h.metrics.Scope,
+	})
+	origins.RegisterHandlers(socket)
 	board := bhgate.NewBalancer(settings.Centre, h.logger)
 	gate := bhgate.New(bhgate.Config{
 		Dialect:     platform.Dialect(),
@@ -252,6 +257,7 @@
 		Quota:       limiter,
 		Jobs:        h.ledger(),
 		Balancer:    board,
+		Origins:     origins,
 		Admission:   h.admission,
 		EngineLoads: &bhgate.PeerEngineLoads{Socket: socket, Logger: h.logger},
 		Pool:        h.pool,
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -12,6 +12,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -60,6 +61,9 @@
 	// whichever is first.
 	deadline time.Time
 
+	// origin is that of the call's stream, which may go on there only; nil if none has
+	// begun.
+	origin *bhorigin.Origin
 	// sends counts the attempts that may have run.
 	sends int
 	// upstream is the ID of the instance of the last of these attempts.
@@ -110,6 +114,11 @@
 	if c.route.Kind == bhpolicy.Batch {
 		return c.submit()
 	}
+	if c.takesUp() {
+		if err := c.findOrigin(c.r.Context()); err != nil {
+			return err
+		}
+	}
 	if err := c.takeQuota(); err != nil {
 		return err
 	}
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -26,11 +26,11 @@
 // resumed stream is never refused for that.
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
 	balancer := c.gate.config.Balancer
-	instances := c.view.Fleet[service]
+	instances := c.instances(service)
 	if c.gate.config.EngineLoads == nil || !c.view.Index.IsEngineService(service) {
 		instance, ok := balancer.Pick(instances, excluded, nil)
 		if !ok {
-			return instance, noUpstream(service)
+			return instance, c.noUpstream(service)
 		}
 		return instance, nil
 	}
@@ -52,7 +52,7 @@
 		instance, ok = balancer.Pick(append(sample, more...), excluded, loads)
 	}
 	if !ok {
-		return instance, noUpstream(service)
+		return instance, c.noUpstream(service)
 	}
 	load := loads[instance.RunnerAddr]
 	c.choice.load = load
@@ -69,10 +69,6 @@
 	return instance, nil
 }
 
-func noUpstream(service string) error {
-	return bhcode.New(bhcode.NoUpstream, "service %q has no upstream left", service).WithRetryAfter(unavailableRetryAfter)
-}
-
 // queryLoads asks the runners beside the instances for the loads of their engines.
 func (c *call) queryLoads(ctx context.Context, instances []bhwatch.Instance) map[netip.AddrPort]bhwire.Room {
 	runners := runnerAddresses(instances)
--- a/bhgate/engine_loads.go
+++ b/bhgate/engine_loads.go
@@ -49,7 +49,9 @@
 }
 
 // Reserve implements EngineLoads.
-func (p *PeerEngineLoads) Reserve(runner netip.AddrPort) { p.Socket.Tell(bhwire.KindReserve, runner) }
+func (p *PeerEngineLoads) Reserve(runner netip.AddrPort) {
+	p.Socket.Tell(bhwire.KindReserve, nil, runner)
+}
 
 // Fault implements EngineLoads.
-func (p *PeerEngineLoads) Fault(runner netip.AddrPort) { p.Socket.Tell(bhwire.KindFault, runner) }
+func (p *PeerEngineLoads) Fault(runner netip.AddrPort) { p.Socket.Tell(bhwire.KindFault, nil, runner) }
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -85,7 +85,7 @@
 			break
 		}
 	}
-	return c.finalError(ctx, lastErr, noUpstream(service))
+	return c.finalError(ctx, lastErr, c.noUpstream(service))
 }
 
 // finalResult returns the result of the call after an attempt that no other may
@@ -140,6 +140,9 @@
 			return bhcode.New(bhcode.NotFound, "the route changed its kind").WithRetryAfter(overloadRetryAfter)
 		}
 		if !c.route.Serves(*service) {
+			if c.origin != nil {
+				return c.noUpstream(*service)
+			}
 			*service = c.chooseService()
 		}
 		return nil
@@ -151,9 +154,12 @@
 	return nil
 }
 
-// chooseService draws one of the route's services at random by weight. It returns
-// "" if no service has a weight.
+// chooseService draws one of the route's services at random by weight, or returns the
+// service that began the call's stream. It returns "" if no service has a weight.
 func (c *call) chooseService() string {
+	if c.origin != nil {
+		return c.origin.Service
+	}
 	total := 0
 	for _, backend := range c.route.Backends {
 		total += max(0, backend.Weight)
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -60,6 +61,9 @@
 	Quota    Quota
 	Jobs     Jobs
 	Balancer *Balancer
+	// Origins remembers the versions that began streams. If it is nil, this gateway
+	// remembers its own.
+	Origins Origins
 	// EngineLoads reports the load of engines. If it is nil, the load of an
 	// upstream is only what this gateway sent there.
 	EngineLoads EngineLoads
@@ -90,6 +94,9 @@
 	if config.Admission == nil {
 		config.Admission = &bhadmit.Admission[bhadmit.ByObjective]{}
 	}
+	if config.Origins == nil {
+		config.Origins = bhorigin.NewRegistry(bhorigin.Config{Clock: config.Clock, Logger: config.Logger, Scope: config.Scope})
+	}
 	return &Gate{config: config, metrics: newMetrics(config.Scope), times: newServiceTimes(), draining: make(chan struct{})}
 }
 
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -16,8 +16,12 @@
 	sends       tally.Counter
 	// notAdmitted counts requests refused because all engines asked were full.
 	notAdmitted tally.Counter
-	duration    tally.Histogram
-	failures    map[bhcode.Code]tally.Counter
+	// takenUp counts the streams that clients took up, originUnknown those of them
+	// that were refused because nothing tells which version began them.
+	takenUp       tally.Counter
+	originUnknown tally.Counter
+	duration      tally.Histogram
+	failures      map[bhcode.Code]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -26,12 +30,14 @@
 		failures[code] = scope.Tagged(map[string]string{"code": code.String()}).Counter("gate_failures")
 	}
 	return metrics{
-		served:      scope.Counter("gate_served"),
-		clientsGone: scope.Counter("gate_clients_left"),
-		sends:       scope.Counter("gate_sends"),
-		notAdmitted: scope.Counter("gate_not_admitted"),
-		duration:    scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
-		failures:    failures,
+		served:        scope.Counter("gate_served"),
+		clientsGone:   scope.Counter("gate_clients_left"),
+		sends:         scope.Counter("gate_sends"),
+		notAdmitted:   scope.Counter("gate_not_admitted"),
+		takenUp:       scope.Counter("gate_streams_taken_up"),
+		originUnknown: scope.Counter("gate_origins_unknown"),
+		duration:      scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
+		failures:      failures,
 	}
 }
 
--- /dev/null
+++ b/bhgate/origin.go
@@ -0,0 +1,121 @@
+package bhgate
+
+import (
+	"context"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhorigin"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
+)
+
+// streamLifetimes is the longest time between the begin of a stream and a client that
+// takes it up, as a multiple of the route's timeout.
+const streamLifetimes = 2
+
+// Origins remembers which upstreams began a stream.
+type Origins interface {
+	// Record remembers the origin of a stream, also at other gateways. It doesn't
+	// block.
+	Record(key bhorigin.Key, origin bhorigin.Origin)
+	// Find returns the origin of a stream that any gateway recorded. It reports false
+	// if none is known within some ten milliseconds.
+	Find(ctx context.Context, key bhorigin.Key) (bhorigin.Origin, bool)
+}
+
+// takesUp reports whether the client takes up a stream after an event.
+func (c *call) takesUp() bool {
+	return c.route.Kind == bhpolicy.Streaming && c.r.Header.Get(c.gate.config.Dialect.LastEvent) != ""
+}
+
+// findOrigin binds the call to the origin of the stream that the client takes up.
+// What two software versions write doesn't fit together and no upstream checks that,
+// so it returns NoUpstream if the origin isn't known and can't be inferred, or if the
+// route no longer leads there.
+func (c *call) findOrigin(ctx context.Context) error {
+	resumes := c.r.Header.Get(c.gate.config.Dialect.Resumes)
+	origin, known := bhorigin.Origin{}, false
+	if resumes != "" {
+		origin, known = c.gate.config.Origins.Find(ctx, c.originKey(resumes))
+	}
+	if !known {
+		origin, known = c.onlyOrigin()
+	}
+	c.gate.metrics.takenUp.Inc(1)
+	switch {
+	case !known:
+		c.gate.metrics.originUnknown.Inc(1)
+		return bhcode.New(bhcode.NoUpstream, "the software version that began the stream of request %q is not known", resumes)
+	case !c.route.Serves(origin.Service):
+		return bhcode.New(bhcode.NoUpstream, "the route no longer leads to service %q, which began the stream of request %q", origin.Service, resumes)
+	}
+	c.origin = &origin
+	return nil
+}
+
+// onlyOrigin returns the only origin that a stream of the route can have: that of its
+// only service, if the service has had upstreams of one version only for longer than
+// clients come back.
+func (c *call) onlyOrigin() (bhorigin.Origin, bool) {
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if len(c.route.Backends) != 1 {
+		return bhorigin.Origin{}, false
+	}
+	service := c.route.Backends[0].Service
+	version, ok := c.view.Versions.Only(service, c.gate.config.Clock.Now(), streamLifetimes*timeout)
+	return bhorigin.Origin{Service: service, Version: version}, ok
+}
+
+// recordOrigin remembers the instance that begins to stream as the origin of the
+// stream, and binds the rest of the call to it.
+func (c *call) recordOrigin(instance bhwatch.Instance) {
+	origin := bhorigin.Origin{Service: instance.Service, Version: instance.Version}
+	c.origin = &origin
+	if !c.route.Resumable {
+		return
+	}
+	c.gate.config.Origins.Record(c.originKey(c.id), origin)
+	if resumes := c.r.Header.Get(c.gate.config.Dialect.Resumes); resumes != "" && c.takesUp() {
+		c.gate.config.Origins.Record(c.originKey(resumes), origin)
+	}
+}
+
+func (c *call) originKey(request string) bhorigin.Key {
+	account := ""
+	if c.account != nil {
+		account = c.account.Name
+	}
+	return bhorigin.NewKey(account, request)
+}
+
+// instances returns the upstreams of the service that the call may be sent to: all,
+// or those of the version that began its stream.
+func (c *call) instances(service string) []bhwatch.Instance {
+	listed := c.view.Fleet[service]
+	if c.origin == nil {
+		return listed
+	}
+	var matching []bhwatch.Instance
+	for _, instance := range listed {
+		if instance.Version == c.origin.Version {
+			matching = append(matching, instance)
+		}
+	}
+	return matching
+}
+
+// noUpstream returns the error of a call for which no upstream is left. A client
+// needn't come back for a stream whose version isn't listed any more.
+func (c *call) noUpstream(service string) error {
+	if c.origin == nil {
+		return bhcode.New(bhcode.NoUpstream, "service %q has no upstream left", service).WithRetryAfter(unavailableRetryAfter)
+	}
+	err := bhcode.New(bhcode.NoUpstream, "service %q has no upstream of version %q left, which began the stream", service, c.origin.Version)
+	if len(c.instances(service)) > 0 {
+		err = err.WithRetryAfter(unavailableRetryAfter)
+	}
+	return err
+}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -13,8 +13,9 @@
 )
 
 // relayStream relays a stream of events as they arrive. A resumable stream that
-// breaks is resumed at another upstream within the same answer.
+// breaks is resumed at another upstream of the same version within the same answer.
 func (c *call) relayStream(ctx context.Context, first *attempt) error {
+	c.recordOrigin(first.instance)
 	c.writeHead(first.answer, -1)
 	c.flush()
 	progress := &bhevent.Progress{}
--- a/bhgate/version_test.go
+++ b/bhgate/version_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -13,8 +14,8 @@
 
 var resumableRoute = bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 3}
 
-// setVersions sets the versions of the upstreams, in their order. An upstream with
-// an empty version isn't listed any more.
+// setVersions sets the versions of the upstreams, in their order, which have been
+// listed for an hour. An upstream with an empty version isn't listed any more.
 func (g *testGate) setVersions(versions ...string) {
 	g.policies.update(func(p *fakePolicies) {
 		var listed []bhwatch.Instance
@@ -24,6 +25,11 @@
 			}
 		}
 		p.view.Fleet = map[string][]bhwatch.Instance{"s": listed}
+		p.view.Versions.Since, p.view.Versions.ReadAt = g.clock.Now()-time.Hour, g.clock.Now()
+		p.view.Versions.LastListed = map[string]map[string]time.Duration{"s": {}}
+		for _, instance := range listed {
+			p.view.Versions.LastListed["s"][instance.Version] = g.clock.Now()
+		}
 	})
 }
 
@@ -91,19 +97,28 @@
 // Guards against a stream of unknown origin, such as one from before a restart, that
 // went on at any version.
 func TestStreamOfUnknownVersionIsTakenUpOnlyIfThereIsOne(t *testing.T) {
-	for _, c := range []struct {
+	for name, c := range map[string]struct {
 		versions []string
+		change   func(view *bhwatch.View, now time.Duration)
 		want     int
 	}{
-		{[]string{"v1", "v1"}, http.StatusOK},
-		{[]string{"v1", "v1.1"}, http.StatusServiceUnavailable},
+		"one version":                  {versions: []string{"v1", "v1"}, want: http.StatusOK},
+		"two versions":                 {versions: []string{"v1", "v1.1"}, want: http.StatusServiceUnavailable},
+		"another one has left":         {[]string{"", "v1.1"}, func(view *bhwatch.View, now time.Duration) { view.Versions.LastListed["s"]["v1"] = now - time.Second }, http.StatusServiceUnavailable},
+		"the gateway has just started": {[]string{"v1", "v1"}, func(view *bhwatch.View, now time.Duration) { view.Versions.Since = now - time.Second }, http.StatusServiceUnavailable},
+		"the list is old":              {[]string{"v1", "v1"}, func(view *bhwatch.View, now time.Duration) { view.Versions.ReadAt = now - 5*time.Second }, http.StatusServiceUnavailable},
 	} {
 		first, second := newUpstream(t, streamEvents(20, 0)), newUpstream(t, streamEvents(20, 0))
-		g := newTestGate(t, resumableRoute, first, second)
+		route := resumableRoute
+		route.Timeout = 5 * time.Second
+		g := newTestGate(t, route, first, second)
 		g.setVersions(c.versions...)
-		assert.Equal(t, c.want, g.status(g.request("/a/x", takeUp("unknown", "7"))), c.versions)
+		if c.change != nil {
+			g.policies.update(func(p *fakePolicies) { c.change(&p.view, g.clock.Now()) })
+		}
+		assert.Equal(t, c.want, g.status(g.request("/a/x", takeUp("unknown", "7"))), name)
 		if c.want != http.StatusOK {
-			assert.Zero(t, first.count()+second.count())
+			assert.Zero(t, first.count()+second.count(), name)
 		}
 	}
 }
--- a/bhpeer/socket.go
+++ b/bhpeer/socket.go
@@ -177,14 +177,17 @@
 	return s.conn, s.lastStream, ask
 }
 
-// Tell sends a frame without a body, to which no answer is expected. It does
-// nothing if Run isn't running.
-func (s *Socket) Tell(kind bhwire.Kind, peer netip.AddrPort) {
+// Tell sends a frame to the peers, to which no answer is expected. The frame has no
+// body if message is nil. Tell does nothing if Run isn't running.
+func (s *Socket) Tell(kind bhwire.Kind, message any, peers ...netip.AddrPort) {
 	s.mu.Lock()
 	conn := s.conn
 	s.mu.Unlock()
-	if conn != nil {
-		s.sendFrame(conn, kind, 0, nil, peer)
+	if conn == nil {
+		return
+	}
+	for _, peer := range peers {
+		s.sendFrame(conn, kind, 0, message, peer)
 	}
 }
 
--- a/bhpeer/socket_test.go
+++ b/bhpeer/socket_test.go
@@ -97,7 +97,7 @@
 		})
 	})
 	s := newClientSocket(t)
-	s.Tell(bhwire.KindReserve, peer.config.Address)
+	s.Tell(bhwire.KindReserve, nil, peer.config.Address)
 	require.Eventually(t, func() bool { return received.Load() == 1 }, testTimeout, time.Millisecond)
 }
 
--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -20,6 +20,7 @@
 	// replaced holds the instances whose address a later started instance uses.
 	replaced map[string]bool
 	leaving  leavingMarks
+	versions Versions
 }
 
 func newInstanceTracker(outageAfter time.Duration) instanceTracker {
@@ -32,6 +33,7 @@
 func (t *instanceTracker) update(instances []Instance, sent time.Duration, logger bhlog.Logger) map[string][]Instance {
 	if sent >= t.newestSent {
 		t.merge(instances, sent, logger)
+		t.versions = t.versions.update(t.known, sent)
 	}
 	t.replaced = t.findReplaced(logger)
 	t.leaving.prune(t.known, sent)
--- /dev/null
+++ b/bhwatch/versions.go
@@ -0,0 +1,59 @@
+package bhwatch
+
+import (
+	"maps"
+	"time"
+)
+
+// versionMemory is how long a version of a service is remembered that isn't listed any
+// more. It exceeds the time within which clients come back for a stream.
+const versionMemory = 2 * time.Minute
+
+// Versions holds the software versions of each service that were listed lately. It
+// isn't changed once it is part of a View. Times are of the watcher's clock.
+type Versions struct {
+	// Since is when the first list was read, ReadAt when the read of the newest one
+	// was sent. Both are zero before.
+	Since  time.Duration
+	ReadAt time.Duration
+	// LastListed is when a version of a service was last listed, by service and
+	// version.
+	LastListed map[string]map[string]time.Duration
+}
+
+// Only returns the version of a service if it has been the only one for the window
+// before now. It reports false if others were listed too, or if that isn't known for
+// the whole window up to an outage's length ago.
+func (v Versions) Only(service string, now, window time.Duration) (string, bool) {
+	if v.Since == 0 || v.Since > now-window || now-v.ReadAt > DefaultInterval+outageThreshold {
+		return "", false
+	}
+	only, count := "", 0
+	for version, listed := range v.LastListed[service] {
+		if listed >= now-window {
+			only = version
+			count++
+		}
+	}
+	return only, count == 1
+}
+
+// update returns the versions after a list whose read was sent at the given time.
+func (v Versions) update(instances map[string]Instance, sent time.Duration) Versions {
+	updated := Versions{Since: v.Since, ReadAt: sent, LastListed: make(map[string]map[string]time.Duration)}
+	if updated.Since == 0 {
+		updated.Since = sent
+	}
+	for service, versions := range v.LastListed {
+		kept := maps.Clone(versions)
+		maps.DeleteFunc(kept, func(_ string, listed time.Duration) bool { return listed < sent-versionMemory })
+		updated.LastListed[service] = kept
+	}
+	for _, instance := range instances {
+		if updated.LastListed[instance.Service] == nil {
+			updated.LastListed[instance.Service] = make(map[string]time.Duration)
+		}
+		updated.LastListed[instance.Service][instance.Version] = sent
+	}
+	return updated
+}
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -80,6 +80,8 @@
 	ProvenAt time.Duration
 	// Fleet holds the upstreams by service; nil if none have been read yet.
 	Fleet map[string][]Instance
+	// Versions holds the software versions of the services' upstreams.
+	Versions Versions
 }
 
 // Config configures a Watcher.
@@ -157,7 +159,7 @@
 func (w *Watcher) View() View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet}
+	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet, Versions: w.instances.versions}
 }
 
 // Confirm reads the policy again, with a read that is sent after the call, and
--- a/bhwire/codec.go
+++ b/bhwire/codec.go
@@ -48,6 +48,9 @@
 	KindFault,
 	KindDraw,
 	KindDrawn,
+	KindBegan,
+	KindFind,
+	KindFound,
 }
 
 var (
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -4,6 +4,18 @@
 
 import "time"
 
+// Began tells another gateway which upstreams began a stream. It isn't answered.
+type Began struct {
+	// Service whose upstream began the stream.
+	Service string `json:"service"`
+
+	// Key of the stream.
+	Stream []byte `json:"stream"`
+
+	// Software version of that upstream.
+	Version string `json:"version"`
+}
+
 // Draw asks another gateway for one token of an account.
 type Draw struct {
 	// Name of the account.
@@ -19,11 +31,29 @@
 	Reached bool `json:"reached"`
 }
 
+// Find asks another gateway which upstreams began a stream.
+type Find struct {
+	// Key of the stream.
+	Stream []byte `json:"stream"`
+}
+
+// Found answers a find.
+type Found struct {
+	// Whether the gateway knows the stream; the other fields are empty if it doesn't.
+	Known bool `json:"known"`
+
+	// Service whose upstream began the stream.
+	Service string `json:"service"`
+
+	// Software version of that upstream.
+	Version string `json:"version"`
+}
+
 // Room is what an engine has left for live requests, as the runner beside it sees
 // it. It answers an ask frame with the same stream number. A reserve frame
 // announces one live request, and a fault frame reports that one failed at the
-// engine or has no first event in time. Frames about rooms and draws travel in
-// datagrams, asks, reserves and faults without a body.
+// engine or has no first event in time. Frames about rooms, draws and the origins
+// of streams travel in datagrams, asks, reserves and faults without a body.
 type Room struct {
 	// Time since the engine was asked for its load.
 	Age time.Duration `json:"age"`
