Clients that name no attempt take streams up while one version is listed

Such a stream can't be found, so after a gateway's start or an outage of the store they would all have been refused for two timeouts, although one version served. The inference from the lists needs the whole time to be known only for a client that named the attempt: then records were lost, as in a restart of the fleet. Several listed versions still refuse both.

Before, by the test: 503 for the cases 'no name, gateway that just started' and 'no name, while the platform is down'; now 200.

--- a/bhgate/origin.go
+++ b/bhgate/origin.go
@@ -39,7 +39,7 @@
 		origin, known = c.gate.config.Origins.Find(ctx, c.originKey(resumes))
 	}
 	if !known {
-		origin, known = c.onlyOrigin()
+		origin, known = c.onlyOrigin(resumes != "")
 	}
 	c.gate.metrics.takenUp.Inc(1)
 	switch {
@@ -53,19 +53,21 @@
 	return nil
 }
 
-// onlyOrigin returns the only origin that a stream of the route can have: that of its
-// only service, if the service has had upstreams of one version only for longer than
-// clients come back.
-func (c *call) onlyOrigin() (bhorigin.Origin, bool) {
+// onlyOrigin returns the origin that a stream must have if its service had upstreams
+// of one version only for longer than clients take to come back. If the client named
+// the attempt that began the stream, the records of it were lost, as in a restart of
+// the fleet; then the route must have one service, and that time be known in full.
+func (c *call) onlyOrigin(named bool) (bhorigin.Origin, bool) {
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
-	if len(c.route.Backends) != 1 {
+	window, now := streamLifetimes*timeout, c.gate.config.Clock.Now()
+	if named && (len(c.route.Backends) != 1 || !c.view.Versions.Cover(now, window)) {
 		return bhorigin.Origin{}, false
 	}
-	service := c.route.Backends[0].Service
-	version, ok := c.view.Versions.Only(service, c.gate.config.Clock.Now(), streamLifetimes*timeout)
+	service := c.chooseService()
+	version, ok := c.view.Versions.Only(service, now-window)
 	return bhorigin.Origin{Service: service, Version: version}, ok
 }
 
--- a/bhwatch/versions.go
+++ b/bhwatch/versions.go
@@ -21,16 +21,12 @@
 	LastListed map[string]map[string]time.Duration
 }
 
-// Only returns the version of a service if it has been the only one for the window
-// before now. It reports false if others were listed too, or if that isn't known for
-// the whole window up to an outage's length ago.
-func (v Versions) Only(service string, now, window time.Duration) (string, bool) {
-	if v.Since == 0 || v.Since > now-window || now-v.ReadAt > DefaultInterval+outageThreshold {
-		return "", false
-	}
+// Only returns the version of a service if it is the only one that was listed since
+// the given time, as far as this is known.
+func (v Versions) Only(service string, since time.Duration) (string, bool) {
 	only, count := "", 0
 	for version, listed := range v.LastListed[service] {
-		if listed >= now-window {
+		if listed >= since {
 			only = version
 			count++
 		}
@@ -38,6 +34,12 @@
 	return only, count == 1
 }
 
+// Cover reports whether the lists of the window before now are known: the first one
+// was read before it, and the newest one is no older than an outage.
+func (v Versions) Cover(now, window time.Duration) bool {
+	return v.Since > 0 && v.Since <= now-window && now-v.ReadAt <= DefaultInterval+outageThreshold
+}
+
 // update returns the versions after a list whose read was sent at the given time.
 func (v Versions) update(instances map[string]Instance, sent time.Duration) Versions {
 	updated := Versions{Since: v.Since, ReadAt: sent, LastListed: make(map[string]map[string]time.Duration)}
