A batch item's output goes on only at the software version that began it

A checkpoint now names service and version of the engine that wrote it. Before each request a runner compares them with its engine's; if they differ, or the checkpoint is an earlier release's and names none, it drops the output and runs the item from the start (item.restarted in the log). Refusing the claim was ruled out: after a rollout no engine of the old version is left.

--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -259,7 +259,9 @@
 
 // currentCheckpoint returns the checkpoint of the output so far.
 func (ir *itemRun) currentCheckpoint() Checkpoint {
-	return Checkpoint{LastEvent: ir.checkpoint.LastEvent, Text: ir.output()}
+	checkpoint := ir.checkpoint
+	checkpoint.Text = ir.output()
+	return checkpoint
 }
 
 // output returns the text received so far, including that of the loaded
@@ -305,6 +307,7 @@
 	if err != nil {
 		return err
 	}
+	ir.bindOutput(instance)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stall := time.AfterFunc(stallTimeout, cancel)
@@ -334,6 +337,20 @@
 	return ir.receiveEvents(answer, stall)
 }
 
+// bindOutput prepares the output for events of the instance. It drops what an
+// upstream of another software version wrote, since the two don't fit together.
+func (ir *itemRun) bindOutput(instance bhwatch.Instance) {
+	ir.runner.mu.Lock()
+	defer ir.runner.mu.Unlock()
+	if !ir.checkpoint.fits(instance) {
+		bhlog.Event(ir.runner.config.Logger, "item.restarted", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent,
+			"service", ir.checkpoint.Service, "version", ir.checkpoint.Version, "upstream", instance.ID, "upstream_version", instance.Version)
+		ir.checkpoint = Checkpoint{}
+		ir.savedEvent, ir.text, ir.events, ir.runTime, ir.resumed = "", nil, 0, 0, false
+	}
+	ir.checkpoint.Service, ir.checkpoint.Version = instance.Service, instance.Version
+}
+
 // targetInstance returns the engine's instance. The error is errNotServed if
 // the item's route doesn't lead to it, and errNoRoute if the route was removed.
 func (ir *itemRun) targetInstance() (bhwatch.Instance, error) {
--- a/bhjob/job.go
+++ b/bhjob/job.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
 // Item is one request of a job.
@@ -157,11 +158,21 @@
 	Next int
 }
 
-// Checkpoint is an item's output so far, from which a later run resumes.
+// Checkpoint is an item's output so far, from which a later run resumes at an
+// upstream of the same service and software version.
 type Checkpoint struct {
 	// LastEvent is the id of the last event in Text; empty if there is no
 	// output.
 	LastEvent string `cbor:"1,keyasint"`
 	// Text holds the data of all events, separated by line feeds.
 	Text string `cbor:"2,keyasint"`
+	// Service and Version are those of the upstream that wrote the output. Both are
+	// empty in a checkpoint of an earlier release.
+	Service string `cbor:"3,keyasint,omitempty"`
+	Version string `cbor:"4,keyasint,omitempty"`
+}
+
+// fits reports whether the instance may continue the output.
+func (c *Checkpoint) fits(instance bhwatch.Instance) bool {
+	return c.LastEvent == "" || c.Service == instance.Service && c.Version == instance.Version
 }
