A chat's answer goes on only at an engine of the version that began it

Engines name theirs in each chunk (system_fingerprint). An engine that tells none is taken as before.

TestChatGoesOnOnlyAtTheVersionThatBeganIt fails without the change and passes with it.

--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -42,6 +42,9 @@
 	Model   string        `json:"model"`
 	Choices []ChunkChoice `json:"choices"`
 	Usage   *Usage        `json:"usage,omitempty"`
+	// Fingerprint names the version of the model and the engine that wrote the chunk;
+	// empty if the engine doesn't tell.
+	Fingerprint string `json:"system_fingerprint,omitempty"`
 
 	// Raw is the JSON that the engine sent, including fields that Chunk doesn't
 	// declare. It is valid until the next call of Decoder.Feed.
--- a/bhcode/code.go
+++ b/bhcode/code.go
@@ -41,6 +41,7 @@
 	OutcomeUnknown   Code = 2012
 	BreakerOpen      Code = 2013
 	NoConfiguration  Code = 2014
+	VersionDiffers   Code = 2015
 
 	PlatformUnavailable Code = 3001
 	PlatformConflict    Code = 3002
@@ -103,6 +104,7 @@
 	OutcomeUnknown:   {"outcome_unknown", http.StatusConflict, "A request with this idempotency key may have run."},
 	BreakerOpen:      {"breaker_open", http.StatusServiceUnavailable, "The upstream is failing and gets no requests."},
 	NoConfiguration:  {"no_configuration", http.StatusServiceUnavailable, "This host has no configuration in force."},
+	VersionDiffers:   {"version_differs", http.StatusBadGateway, "No engine of the version that began the answer continued it."},
 
 	PlatformUnavailable: {"platform_unavailable", http.StatusServiceUnavailable, "The platform's service did not take the operation."},
 	PlatformConflict:    {"platform_conflict", http.StatusConflict, "A condition of the write did not hold."},
--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -63,12 +63,17 @@
 	// fields are unset.
 	firstChunk bhchat.Chunk
 	attempts   int
+	// fingerprint is the last one that an engine told, and unchecked says that the
+	// engine that continues the answer hasn't told its own yet.
+	fingerprint string
+	unchecked   bool
 }
 
 func (s *chatSink) beginAttempt() ([]byte, error) {
 	s.decoder = bhchat.Decoder{}
 	s.refusalBody = nil
 	s.attempts++
+	s.unchecked = s.collector.Tokens() > 0
 	return s.request.EngineBody(s.collector.Resume())
 }
 
@@ -95,6 +100,9 @@
 }
 
 func (s *chatSink) writeChunk(chunk bhchat.Chunk) error {
+	if err := s.checkVersion(chunk.Fingerprint); err != nil {
+		return err
+	}
 	s.collector.Add(chunk)
 	if s.firstChunk.ID == "" {
 		s.firstChunk.ID, s.firstChunk.Created = chunk.ID, chunk.Created
@@ -114,6 +122,20 @@
 	return s.writeEvent(s.eventBuffer)
 }
 
+// checkVersion returns VersionDiffers if another engine continues the answer than one
+// of the version that wrote it so far: what two versions write doesn't fit together.
+// Engines may tell no fingerprint, and one may change its own.
+func (s *chatSink) checkVersion(fingerprint string) error {
+	if fingerprint == "" {
+		return nil
+	}
+	if s.unchecked && s.fingerprint != "" && fingerprint != s.fingerprint {
+		return bhcode.New(bhcode.VersionDiffers, "an engine of version %q can't continue an answer of version %q", fingerprint, s.fingerprint).WithRan(bhcode.RanYes)
+	}
+	s.unchecked, s.fingerprint = false, fingerprint
+	return nil
+}
+
 // rewriteChunk returns the JSON of a chunk from an engine that resumed the
 // response of an earlier one: with the ID and creation time of the first chunk
 // and the token usage of the whole response.
--- /dev/null
+++ b/bhentry/chatsink_test.go
@@ -0,0 +1,45 @@
+package bhentry
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/labstack/echo/v4"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhchat"
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhwire"
+)
+
+// Guards against an answer to a chat that an engine of another version continued.
+func TestChatGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	chunk := func(fingerprint, text string) []byte {
+		return fmt.Appendf(nil, "data: {\"id\":\"c\",\"model\":\"m\",\"system_fingerprint\":%q,\"choices\":[{\"delta\":{\"content\":%q}}]}\n\n", fingerprint, text)
+	}
+	for _, c := range []struct {
+		first, second string
+		fits          bool
+	}{{"v1", "v1", true}, {"v1", "v1.1", false}, {"", "v1", true}, {"v1", "", true}} {
+		recorder := httptest.NewRecorder()
+		request, err := bhchat.Parse([]byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"week"}]}`))
+		require.NoError(t, err)
+		sink := &chatSink{c: echo.New().NewContext(httptest.NewRequest(http.MethodPost, bhchat.Path, strings.NewReader("")), recorder), request: request}
+		for _, fingerprint := range []string{c.first, c.second} {
+			_, err = sink.beginAttempt()
+			require.NoError(t, err)
+			require.NoError(t, sink.writeHead(bhwire.Head{Status: http.StatusOK}))
+			err = sink.writeData(chunk(fingerprint, "text of "+fingerprint))
+		}
+		if c.fits {
+			require.NoError(t, err, "%+v", c)
+			continue
+		}
+		assert.True(t, bhcode.Is(err, bhcode.VersionDiffers), "%+v: %v", c, err)
+		assert.NotContains(t, recorder.Body.String(), "text of "+c.second)
+	}
+}
