A batch item of the entry's API goes on only at the version that began it

The resume point now names the version that wrote the text; an engine that tells another one fails the run with version_differs, and the item starts anew without being charged.

TestBatchItemGoesOnOnlyAtTheVersionThatBeganIt fails when checkVersion is taken out, and passes with it.

--- a/bhbatch/cost_test.go
+++ b/bhbatch/cost_test.go
@@ -29,7 +29,7 @@
 // delayedEngine answers an item in one piece after itemTime on average.
 type delayedEngine struct{}
 
-func (delayedEngine) Run(ctx context.Context, item Item, _ ResumePoint, _ func(string, int)) (Result, error) {
+func (delayedEngine) Run(ctx context.Context, item Item, _ ResumePoint, _ func(Piece)) (Result, error) {
 	select {
 	case <-ctx.Done():
 		return Result{}, ctx.Err()
--- a/bhbatch/dispatch.go
+++ b/bhbatch/dispatch.go
@@ -83,9 +83,7 @@
 	}
 	stop := r.cancelOnPreempt(ctx, cancel, slot)
 	defer stop()
-	result, err = slot.Engine().Run(ctx, item.item, item.resume, func(text string, tokens int) {
-		r.appendOutput(item, text, tokens)
-	})
+	result, err = slot.Engine().Run(ctx, item.item, item.resume, func(piece Piece) { r.appendOutput(item, piece) })
 	return result, err != nil && ctx.Err() != nil, err
 }
 
@@ -136,12 +134,15 @@
 
 // appendOutput adds a piece of the answer to the output from which an
 // interrupted run resumes.
-func (r *Runner) appendOutput(item *heldItem, text string, tokens int) {
+func (r *Runner) appendOutput(item *heldItem, piece Piece) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.totals.Generated += tokens
-	item.resume.Text += text
-	item.resume.Tokens += tokens
+	r.totals.Generated += piece.Tokens
+	item.resume.Text += piece.Text
+	item.resume.Tokens += piece.Tokens
+	if piece.Version != "" {
+		item.resume.Version = piece.Version
+	}
 }
 
 // requeueFirst puts an interrupted item back at the head of the queue, unless
--- a/bhbatch/engine.go
+++ b/bhbatch/engine.go
@@ -25,6 +25,16 @@
 	// Text is the text generated so far and Tokens the number of its tokens.
 	Text   string
 	Tokens int
+	// Version is that of the engine that wrote the text; empty if it didn't tell.
+	Version string
+}
+
+// Piece is a part of an answer as an engine generates it.
+type Piece struct {
+	Text   string
+	Tokens int
+	// Version is that of the engine; empty if it doesn't tell.
+	Version string
 }
 
 // Result is the complete answer to an item.
@@ -44,12 +54,14 @@
 //     did not run and is retried later.
 //   - UpstreamLost: the engine crashed. The crash is charged to an item that ran
 //     alone; an item that shared the engine is run again alone.
+//   - VersionDiffers: the engine isn't of the version that wrote the text to resume
+//     from. The item is run from the start.
 //   - Any other: the run counts as one of MaxTries.
 type Engine interface {
 	// Run generates the answer to item. It continues from resume and calls emit
 	// for each piece of text generated after it. The result holds the whole
 	// answer.
-	Run(ctx context.Context, item Item, resume ResumePoint, emit func(text string, tokens int)) (Result, error)
+	Run(ctx context.Context, item Item, resume ResumePoint, emit func(piece Piece)) (Result, error)
 }
 
 // Gate decides when a batch item may run beside live traffic.
@@ -110,6 +122,9 @@
 			return actionReleaseChunk
 		}
 		return actionRetry
+	case bhcode.VersionDiffers:
+		i.resume = ResumePoint{}
+		return actionRetry
 	case bhcode.UpstreamLost:
 		return i.actionAfterCrash(shared)
 	}
--- a/bhbatch/fault_test.go
+++ b/bhbatch/fault_test.go
@@ -123,10 +123,10 @@
 	engine *fakeEngine
 }
 
-func (e hostEngine) Run(ctx context.Context, item Item, resume ResumePoint, emit func(string, int)) (Result, error) {
-	result, err := e.engine.Run(ctx, item, resume, func(text string, tokens int) {
+func (e hostEngine) Run(ctx context.Context, item Item, resume ResumePoint, emit func(Piece)) (Result, error) {
+	result, err := e.engine.Run(ctx, item, resume, func(piece Piece) {
 		if e.access.waitAlive() == nil {
-			emit(text, tokens)
+			emit(piece)
 		}
 	})
 	if dead := e.access.waitAlive(); dead != nil {
--- a/bhbatch/runner_test.go
+++ b/bhbatch/runner_test.go
@@ -40,7 +40,7 @@
 	}
 }
 
-func (e *fakeEngine) Run(ctx context.Context, item Item, resume ResumePoint, emit func(string, int)) (Result, error) {
+func (e *fakeEngine) Run(ctx context.Context, item Item, resume ResumePoint, emit func(Piece)) (Result, error) {
 	engineCtx, id := e.beginRun(item)
 	defer e.endRun(id)
 	for i := resume.Tokens; i < e.pieces; i++ {
@@ -58,7 +58,7 @@
 			e.crash()
 			return Result{}, bhcode.New(bhcode.UpstreamLost, "engine crashed")
 		}
-		emit("x", 1)
+		emit(Piece{Text: "x", Tokens: 1})
 	}
 	body, err := json.Marshal(map[string]string{"answer": item.CustomID, "run": fmt.Sprintf("%p-%d", e, id)})
 	return Result{Body: body, Tokens: e.pieces}, err
--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -232,13 +232,13 @@
 
 // Run implements bhbatch.Engine.
 func (e batchEngine) Run(
-	ctx context.Context, item bhbatch.Item, resume bhbatch.ResumePoint, emit func(text string, tokens int),
+	ctx context.Context, item bhbatch.Item, resume bhbatch.ResumePoint, emit func(bhbatch.Piece),
 ) (bhbatch.Result, error) {
 	request, err := bhchat.Parse(item.Body)
 	if err != nil {
 		return bhbatch.Result{}, err
 	}
-	body, err := request.EngineBody(bhchat.Resume(resume))
+	body, err := request.EngineBody(bhchat.Resume{Text: resume.Text, Tokens: resume.Tokens})
 	if err != nil {
 		return bhbatch.Result{}, err
 	}
@@ -278,7 +278,7 @@
 // exchange sends the item to the engine and reads the answer. It calls emit for
 // each piece of the answer.
 func (e batchEngine) exchange(
-	ctx context.Context, request bhchat.Request, resume bhbatch.ResumePoint, body []byte, emit func(string, int),
+	ctx context.Context, request bhchat.Request, resume bhbatch.ResumePoint, body []byte, emit func(bhbatch.Piece),
 ) (bhbatch.Result, error) {
 	response, err := e.upstream.send(ctx, bhwire.Submit{
 		Method:     http.MethodPost,
@@ -295,9 +295,9 @@
 		return bhbatch.Result{}, responseError(response)
 	}
 	signalFirstToken := sync.OnceFunc(e.onFirstToken)
-	builder := answerBuilder{request: request, resume: resume, emit: func(text string, tokens int) {
+	builder := answerBuilder{request: request, resume: resume, emit: func(piece bhbatch.Piece) {
 		signalFirstToken()
-		emit(text, tokens)
+		emit(piece)
 	}}
 	return builder.read(response.Body)
 }
@@ -332,7 +332,7 @@
 type answerBuilder struct {
 	request bhchat.Request
 	resume  bhbatch.ResumePoint
-	emit    func(text string, tokens int)
+	emit    func(bhbatch.Piece)
 
 	decoder      bhchat.Decoder
 	text         strings.Builder
@@ -352,6 +352,9 @@
 		n, err := body.Read(buffer)
 		chunks, decodeErr := b.decoder.Feed(buffer[:n])
 		for _, chunk := range chunks {
+			if err := b.checkVersion(chunk.Fingerprint); err != nil {
+				return bhbatch.Result{}, err
+			}
 			b.addChunk(chunk)
 		}
 		if decodeErr != nil {
@@ -366,6 +369,19 @@
 	}
 }
 
+// checkVersion returns VersionDiffers if the engine isn't of the version that wrote
+// the resumed part. Only the first chunk that tells a version counts.
+func (b *answerBuilder) checkVersion(version string) error {
+	began := b.resume.Version
+	if version == "" || began == "" {
+		return nil
+	}
+	if b.resume.Version = ""; version != began {
+		return bhcode.New(bhcode.VersionDiffers, "an engine of version %q can't continue an answer of version %q", version, began)
+	}
+	return nil
+}
+
 // addChunk appends the chunk to the answer. Each delta with content counts as
 // one token.
 func (b *answerBuilder) addChunk(chunk bhchat.Chunk) {
@@ -374,7 +390,7 @@
 		if choice.Delta.Content != "" {
 			b.text.WriteString(choice.Delta.Content)
 			b.tokens++
-			b.emit(choice.Delta.Content, 1)
+			b.emit(bhbatch.Piece{Text: choice.Delta.Content, Tokens: 1, Version: chunk.Fingerprint})
 		}
 		if choice.Finish != nil {
 			b.finishReason = *choice.Finish
--- a/bhsidecar/batch_test.go
+++ b/bhsidecar/batch_test.go
@@ -30,18 +30,18 @@
 	return bhbatch.Item{Body: []byte(`{"model":"rota","max_tokens":16,"messages":[{"role":"user","content":"` + prompt + `"}]}`)}
 }
 
-func discardEmit(string, int) {}
+func discardEmit(bhbatch.Piece) {}
 
 func TestResumedBatchItemHasSameAnswer(t *testing.T) {
 	engine := newBatchEngine(t, bhstand.EngineConfig{})
 	var texts []string
-	full, err := engine.Run(context.Background(), batchItem("week"), bhbatch.ResumePoint{}, func(text string, _ int) {
-		texts = append(texts, text)
+	full, err := engine.Run(context.Background(), batchItem("week"), bhbatch.ResumePoint{}, func(piece bhbatch.Piece) {
+		texts = append(texts, piece.Text)
 	})
 	require.NoError(t, err)
 	resume := bhbatch.ResumePoint{Text: strings.Join(texts[:5], ""), Tokens: 5}
 	emitted := 0
-	resumed, err := engine.Run(context.Background(), batchItem("week"), resume, func(string, int) { emitted++ })
+	resumed, err := engine.Run(context.Background(), batchItem("week"), resume, func(bhbatch.Piece) { emitted++ })
 	require.NoError(t, err)
 	fullCreated, fullFields := splitCreated(t, full.Body)
 	resumedCreated, resumedFields := splitCreated(t, resumed.Body)
@@ -84,3 +84,20 @@
 	_, err = engine.Run(context.Background(), unknownModel, bhbatch.ResumePoint{}, discardEmit)
 	assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "a model that is not loaded: %v", err)
 }
+
+// Guards against an item whose text an engine of another version continued.
+func TestBatchItemGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
+	engine := newBatchEngine(t, bhstand.EngineConfig{}) // of version 1
+	var texts []string
+	var version string
+	_, err := engine.Run(context.Background(), batchItem("week"), bhbatch.ResumePoint{}, func(piece bhbatch.Piece) {
+		texts, version = append(texts, piece.Text), piece.Version
+	})
+	require.NoError(t, err)
+	resume := bhbatch.ResumePoint{Text: strings.Join(texts[:5], ""), Tokens: 5, Version: version}
+	_, err = engine.Run(context.Background(), batchItem("week"), resume, discardEmit)
+	require.NoError(t, err)
+	resume.Version = "another"
+	_, err = engine.Run(context.Background(), batchItem("week"), resume, func(bhbatch.Piece) { t.Error("a piece of another version was added") })
+	assert.True(t, bhcode.Is(err, bhcode.VersionDiffers), "%v", err)
+}
