--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -44,6 +44,9 @@
 	// abortAfter is the number of events after which the next stream is
 	// aborted; zero means never.
 	abortAfter int
+	// crashes is the number of requests under which the engine still dies, without an
+	// answer.
+	crashes int
 	// next answers the next request instead, if it isn't nil.
 	next func(w http.ResponseWriter, r *http.Request)
 	// live is the reported number of running live requests, waiting that of
@@ -87,9 +90,14 @@
 	}
 	next := e.next
 	e.abortAfter, e.next = 0, nil
+	crash := e.crashes > 0
+	e.crashes = max(0, e.crashes-1)
 	e.running++
 	e.mu.Unlock()
 	defer e.set(func(e *fakeEngine) { e.running-- })
+	if crash {
+		panic(http.ErrAbortHandler)
+	}
 	if next != nil {
 		next(w, r)
 		return
@@ -460,3 +468,20 @@
 	r := newRunnerFixture(t, store, "me")
 	r.waitResults("j", 2)
 }
+
+// Guards against an item that is given up, or never placed again, after several
+// engines died while they ran it.
+func TestItemUnderWhichEnginesDiedIsStillOwed(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	runners := []*runnerFixture{newRunnerFixture(t, store, "a"), newRunnerFixture(t, store, "b")}
+	for _, r := range runners {
+		r.engine.set(func(e *fakeEngine) { e.crashes = 3 * maxInterruptions })
+	}
+	require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 2)))
+	for _, result := range runners[0].waitResults("j", 2) {
+		assert.Equal(t, Completed, result.Status)
+		assert.Equal(t, expectedOutput(result.ID, 5), result.Text)
+	}
+	sends := len(runners[0].engine.requestHeaders()) + len(runners[1].engine.requestHeaders())
+	assert.Greater(t, sends, 2*maxInterruptions, "engines died more often than one claim lasts")
+}
