Wait between the crashes that condemn an item of the entry's API

The report of items under which servers died, for the product's own batch API: an item that lost its engine twice while it ran alone was given up with item_crashed. Two crashes 0.25 s apart belong to one burst and say nothing about the item, which then was owed and never placed again.

An item now ends so after three crashes alone, with 10 s after the first and 30 s after the second; other items go on meanwhile. An item that does crash its engine still ends by itself (TestBadItemsFailWithTheirOwnErrorAndOthersComplete, scenario batch, both as they were).

TestItemsUnderWhichEnginesDiedAreStillOwed fails without the change (2 of 3 items complete) and passes with it.

--- a/bhbatch/dispatch.go
+++ b/bhbatch/dispatch.go
@@ -221,9 +221,9 @@
 	return item.chunk.recordResult(item.number, line, tokens)
 }
 
-// requeueLater puts an item at the end of the queue after an exponential delay.
+// requeueLater puts an item at the end of the queue after its delay.
 func (r *Runner) requeueLater(item *heldItem) {
-	time.AfterFunc(itemRetryDelay<<min(item.refusals+item.tries, 4), func() {
+	time.AfterFunc(item.retryDelay(), func() {
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		if item.chunk.dropped {
--- a/bhbatch/engine.go
+++ b/bhbatch/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 )
@@ -12,8 +13,11 @@
 	// MaxTries limits the failed runs that are charged to the item.
 	MaxTries = 3
 	// MaxCrashes limits the runs in which an item crashed its engine while it
-	// ran alone.
-	MaxCrashes = 2
+	// ran alone. Engines also crash in bursts that have nothing to do with the item,
+	// so crashDelay passes after the first one, and three times as long after each
+	// further one.
+	MaxCrashes = 3
+	crashDelay = 10 * time.Second
 	// MaxRefusals limits how often an item is refused by engines before its
 	// chunk is released.
 	MaxRefusals = 8
@@ -148,6 +152,18 @@
 	return actionRetryAlone
 }
 
+// retryDelay returns the time until the item may run again.
+func (i *heldItem) retryDelay() time.Duration {
+	if i.crashes > 0 {
+		delay := crashDelay
+		for range i.crashes - 1 {
+			delay *= 3
+		}
+		return delay
+	}
+	return itemRetryDelay << min(i.refusals+i.tries, 4)
+}
+
 // failure returns the error with which the item fails.
 func (i *heldItem) failure(err error) *bhcode.Error {
 	if i.crashes >= MaxCrashes {
--- a/bhbatch/runner_test.go
+++ b/bhbatch/runner_test.go
@@ -270,6 +270,28 @@
 	})
 }
 
+// Guards against sound items that are given up because engines died under them in
+// bursts that had nothing to do with them.
+func TestItemsUnderWhichEnginesDiedAreStillOwed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore(newFakePlatform(1), 20)
+		job := submitBatch(t, store, 3, "a")
+		engine := newFakeEngine()
+		_, stop := startNewRunner(store, engine, newFakeGate(8), "s1")
+		for range 3 { // bursts of two seconds, six seconds apart
+			for range 5 {
+				time.Sleep(400 * time.Millisecond)
+				engine.crash()
+			}
+			time.Sleep(4 * time.Second)
+		}
+		status := awaitEnd(t, store, job.ID, time.Hour)
+		stop()
+		assert.Equal(t, 3, status.Counts.Completed)
+		requireAnswers(t, readResults(t, store, job.ID), 3, nil)
+	})
+}
+
 func TestRefusingEngineFailsNoItem(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := newStore(newFakePlatform(1), 5)
