Bound what is read of an answer that never ends

Read on the code: the head of an answer was read into memory without a limit, bytes that never become an event too, at a cost that grows with their square; and both kept the timers of silence from firing. An item's output had no limit either.

Now 64 KiB are read for a head, interim answers included (bhforward), 256 KiB for an event (bhevent), and 4 MiB for an item's output (bhjob), which starts anew; the timers of silence and of a stall are restarted by events only. The deadline bounds the time of live requests, the stall timer that of items.

--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -91,6 +91,46 @@
 	}
 }
 
+// Guards against an upstream whose bytes never become an event and fill the memory.
+func TestReaderRefusesEndlessEvent(t *testing.T) {
+	const enough = 16 << 20
+	for _, line := range []string{"x", "data: more\n"} {
+		source := &countingReader{source: io.LimitReader(&repeatingReader{text: line}, enough)}
+		got, err := readEvents(NewReader(ReaderConfig{Source: source, Progress: &Progress{}}))
+		require.Error(t, err)
+		assert.Empty(t, got)
+		assert.Less(t, source.bytes, enough/8, "%q", line)
+	}
+}
+
+// repeatingReader returns its text again and again.
+type repeatingReader struct {
+	text string
+	next int
+}
+
+// Read implements io.Reader.
+func (r *repeatingReader) Read(buffer []byte) (int, error) {
+	for i := range buffer {
+		buffer[i] = r.text[r.next]
+		r.next = (r.next + 1) % len(r.text)
+	}
+	return len(buffer), nil
+}
+
+// countingReader counts the bytes that were read.
+type countingReader struct {
+	source io.Reader
+	bytes  int
+}
+
+// Read implements io.Reader.
+func (r *countingReader) Read(buffer []byte) (int, error) {
+	n, err := r.source.Read(buffer)
+	r.bytes += n
+	return n, err
+}
+
 // readEvents returns the events up to the first error.
 func readEvents(reader *Reader) (string, error) {
 	var got string
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -6,8 +6,13 @@
 	"github.com/pkg/errors"
 )
 
-// readBufferSize is the number of bytes that one read returns at most.
-const readBufferSize = 8 << 10
+const (
+	// readBufferSize is the number of bytes that one read returns at most.
+	readBufferSize = 8 << 10
+	// maxEventBytes bounds an event. Events hold some tokens; bytes that never become
+	// an event would fill the memory.
+	maxEventBytes = 256 << 10
+)
 
 // ReaderConfig configures a Reader.
 type ReaderConfig struct {
@@ -45,9 +50,9 @@
 //
 // At the end of the stream, it returns the last events with io.EOF. A stream that
 // ends inside an event has broken off, whatever its source says: the incomplete
-// event is dropped and the error is io.ErrUnexpectedEOF. Next also fails if a
-// resumed stream doesn't continue after the last event (see Progress). Any error
-// ends the stream.
+// event is dropped and the error is io.ErrUnexpectedEOF. Next also fails if an event is
+// too large, or if a resumed stream doesn't continue after the last event (see
+// Progress). Any error ends the stream.
 func (r *Reader) Next() ([]byte, error) {
 	r.pending = append(r.pending[:0], r.pending[r.returned:]...)
 	n, err := r.config.Source.Read(r.buffer)
@@ -58,6 +63,9 @@
 		return nil, progressErr
 	}
 	r.received = r.received || len(events) > 0
+	if partial := len(r.pending) - r.returned; partial > maxEventBytes {
+		return events, errors.Errorf("an event has more than %d bytes", maxEventBytes)
+	}
 	if err == io.EOF {
 		return events, r.checkEnd()
 	}
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -116,7 +116,9 @@
 	} else {
 		go send() // the upstream may answer before it has read the whole request
 	}
+	c.headBytes = maxHeadBytes
 	response, err := readFinalHead(c.reader, request.Method) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
+	c.headBytes = -1
 	if err != nil {
 		return nil, err
 	}
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
 	"github.com/baobabhaven/baobabhaven/bhtree"
@@ -30,6 +31,9 @@
 	maxIdlePerAddress = 4
 
 	readBufferSize = 4 << 10 // bytes
+	// maxHeadBytes bounds what is read for the head of an answer, interim answers
+	// included. Bytes that are no answer may come without end.
+	maxHeadBytes = 64 << 10
 )
 
 // conn is one connection to an upstream. It isn't reused after idleTimeout, which
@@ -37,11 +41,36 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	// headBytes is how many bytes may still be read for the present head; negative
+	// while no head is read.
+	headBytes int
 	// idleSince is when the connection was returned to the pool.
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
+// newConn returns a connection that reads through a buffer.
+func newConn(netConn net.Conn) *conn {
+	c := &conn{Conn: netConn, headBytes: -1, idleTimeout: maxIdleTimeout}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c
+}
+
+// Read implements io.Reader. It fails within a head that exceeds maxHeadBytes.
+func (c *conn) Read(buffer []byte) (int, error) {
+	if c.headBytes == 0 {
+		return 0, errors.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
+	}
+	if c.headBytes > 0 {
+		buffer = buffer[:min(len(buffer), c.headBytes)]
+	}
+	n, err := c.Conn.Read(buffer)
+	if c.headBytes > 0 {
+		c.headBytes -= n
+	}
+	return n, err
+}
+
 // usable reports whether an idle connection may be reused: it has not exceeded
 // its idle timeout, is still open and has no unexpected bytes to read.
 func (c *conn) usable() bool {
@@ -133,7 +162,7 @@
 	if err != nil {
 		return nil, false, err
 	}
-	return &conn{Conn: netConn, reader: bufio.NewReaderSize(netConn, readBufferSize), idleTimeout: maxIdleTimeout}, false, nil
+	return newConn(netConn), false, nil
 }
 
 func (p *Pool) pop(address string) *conn {
--- a/bhforward/pool_test.go
+++ b/bhforward/pool_test.go
@@ -1,7 +1,6 @@
 package bhforward
 
 import (
-	"bufio"
 	"net"
 	"testing"
 	"time"
@@ -16,7 +15,7 @@
 	addIdleConn := func(address string, since time.Duration) net.Conn {
 		ours, theirs := net.Pipe()
 		t.Cleanup(func() { theirs.Close() })
-		pool.put(address, &conn{Conn: ours, reader: bufio.NewReader(ours), idleTimeout: maxIdleTimeout})
+		pool.put(address, newConn(ours))
 		conns := pool.idle[address]
 		conns[len(conns)-1].idleSince = time.Now().Add(-since)
 		return theirs
--- a/bhgate/framing_test.go
+++ b/bhgate/framing_test.go
@@ -118,3 +118,23 @@
 		require.NoError(t, server.Close())
 	}
 }
+
+// Guards against an upstream whose bytes never become an event, on which a stream
+// waits for its deadline while the bytes fill the gateway's memory.
+func TestStreamResumesAfterBytesWithoutEnd(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"at once": 0, "slowly": 20 * time.Millisecond} {
+		endless := newUpstream(t, func(w http.ResponseWriter, r *http.Request, _ int) {
+			fmt.Fprint(w, wholeStream(7))
+			for r.Context().Err() == nil {
+				fmt.Fprint(w, "garbage ")
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(pause)
+			}
+		})
+		other := newUpstream(t, streamEvents(20, 0))
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, endless, other)
+		_, body, err := g.do(g.request("/a/x"))
+		require.NoError(t, err, name)
+		assert.Equal(t, wholeStream(20), body, name)
+	}
+}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -72,8 +72,8 @@
 	})
 	for {
 		events, err := reader.Next()
-		if err == nil {
-			current.timer.reset()
+		if len(events) > 0 {
+			current.timer.reset() // bytes that become no event are silence
 		}
 		if failure := c.writeEvents(events); failure != nil {
 			return failure
--- a/bhjob/framing_test.go
+++ b/bhjob/framing_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -53,3 +55,37 @@
 		})
 	}
 }
+
+// Guards against an engine whose bytes never end and that fills the memory or keeps
+// the item for ever.
+func TestItemIsRunAgainAfterEndlessOutput(t *testing.T) {
+	for name, block := range map[string]string{
+		"events":               strings.Repeat("data: "+strings.Repeat("more ", 200)+"\n\n", 100),
+		"bytes without events": strings.Repeat("garbage ", 1000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			const enough = 64 << 20
+			store := bhstand.NewStore(bhstand.StoreConfig{})
+			r := newRunnerFixture(t, store, "a")
+			written := make(chan int, 1)
+			r.engine.set(func(e *fakeEngine) {
+				e.next = func(w http.ResponseWriter, r *http.Request) {
+					w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
+					bytes := 0
+					for bytes < enough {
+						n, err := io.WriteString(w, block)
+						if bytes += n; err != nil {
+							break
+						}
+					}
+					written <- bytes
+				}
+			})
+			require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+			results := r.waitResults("j", 1)
+			assert.Equal(t, Completed, results[0].Status)
+			assert.Equal(t, expectedOutput("j-0", 5), results[0].Text)
+			assert.Less(t, <-written, enough, "the connection was closed")
+		})
+	}
+}
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -29,6 +29,9 @@
 	maxInterruptions = 3
 	// stallTimeout is the time without data after which a request is cancelled.
 	stallTimeout = 2500 * time.Millisecond
+	// maxOutputBytes bounds the output of an item, which is kept in memory. Outputs
+	// have some kilobytes; an engine in trouble may send events without end.
+	maxOutputBytes = 4 << 20
 	// storeRetryMin is the first delay between attempts to record a result or
 	// to release a claim while the store fails. It doubles up to storeRetryMax.
 	storeRetryMin = 250 * time.Millisecond
@@ -77,6 +80,7 @@
 	// for saving.
 	savedEvent string
 	text       []string
+	textBytes  int
 	// events counts the events of the output so far, and runTime is how long
 	// requests for the item have run, without the present one. resumed reports
 	// that the output began at another runner.
@@ -345,12 +349,17 @@
 	if !ir.checkpoint.fits(instance) {
 		bhlog.Event(ir.runner.config.Logger, "item.restarted", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent,
 			"service", ir.checkpoint.Service, "version", ir.checkpoint.Version, "upstream", instance.ID, "upstream_version", instance.Version)
-		ir.checkpoint = Checkpoint{}
-		ir.savedEvent, ir.text, ir.events, ir.runTime, ir.resumed = "", nil, 0, 0, false
+		ir.dropOutput()
 	}
 	ir.checkpoint.Service, ir.checkpoint.Version = instance.Service, instance.Version
 }
 
+// dropOutput has the item start anew. The caller holds the runner's mutex.
+func (ir *itemRun) dropOutput() {
+	ir.checkpoint = Checkpoint{}
+	ir.savedEvent, ir.text, ir.textBytes, ir.events, ir.runTime, ir.resumed = "", nil, 0, 0, 0, false
+}
+
 // targetInstance returns the engine's instance. The error is errNotServed if
 // the item's route doesn't lead to it, and errNoRoute if the route was removed.
 func (ir *itemRun) targetInstance() (bhwatch.Instance, error) {
@@ -370,7 +379,7 @@
 }
 
 // receiveEvents receives events until the stream ends. It restarts the stall
-// timer whenever data arrives.
+// timer whenever events arrive.
 func (ir *itemRun) receiveEvents(answer *bhforward.Answer, stall *time.Timer) error {
 	progress := &bhevent.Progress{Last: ir.checkpoint.LastEvent}
 	if progress.Last != "" {
@@ -381,8 +390,12 @@
 	})
 	for {
 		events, err := reader.Next()
-		stall.Reset(stallTimeout)
-		ir.addEvents(events, progress.Last)
+		if len(events) > 0 {
+			stall.Reset(stallTimeout) // bytes that become no event are a stall
+		}
+		if failure := ir.addEvents(events, progress.Last); failure != nil {
+			return failure
+		}
 		switch {
 		case err == io.EOF:
 			return nil
@@ -393,23 +406,28 @@
 }
 
 // addEvents adds data, a sequence of complete events of which the last has the
-// id lastEvent.
-func (ir *itemRun) addEvents(data []byte, lastEvent string) {
+// id lastEvent. It drops the output and returns an error if that gets too large.
+func (ir *itemRun) addEvents(data []byte, lastEvent string) error {
 	if len(data) == 0 {
-		return
+		return nil
 	}
 	ir.runner.mu.Lock()
 	defer ir.runner.mu.Unlock()
 	if len(ir.text) == 0 && ir.checkpoint.Text != "" {
-		ir.text = []string{ir.checkpoint.Text}
+		ir.text, ir.textBytes = []string{ir.checkpoint.Text}, len(ir.checkpoint.Text)
 		ir.checkpoint.Text = ""
 	}
+	if ir.textBytes += len(data); ir.textBytes > maxOutputBytes {
+		ir.dropOutput()
+		return bhcode.New(bhcode.AnswerIncomplete, "the output of an item has more than %d bytes", maxOutputBytes).WithRan(bhcode.RanYes)
+	}
 	for _, event := range bhevent.Parse(data) {
 		ir.text = append(ir.text, strings.Join(event.Data, "\n"))
 		ir.events++
 	}
 	ir.checkpoint.LastEvent = lastEvent
 	ir.streaming = true
+	return nil
 }
 
 // newRequest returns the request for the item, or for the part of its output
