Bound what the entry, the sidecar and the store's clients read of an answer

Heads are limited to 64 KiB, answers that are kept in memory to 4 MiB.

Left: a sidecar waits without a limit of time for an engine that takes an item and sends nothing; the item can be cancelled.

--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -109,6 +109,9 @@
 // Tokens returns the number of response tokens received so far.
 func (c *Collector) Tokens() int { return c.tokens }
 
+// Size returns the length of the text received so far, in bytes.
+func (c *Collector) Size() int { return c.text.Len() }
+
 // Resume returns the text and token count that another engine needs to continue
 // the response. If there are any tokens, it also marks the response as coming
 // from more than one engine.
--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -85,7 +85,7 @@
 func (s *chatSink) writeData(data []byte) error {
 	if s.status != http.StatusOK {
 		s.refusalBody = append(s.refusalBody, data...)
-		return nil
+		return checkSize(len(s.refusalBody))
 	}
 	chunks, err := s.decoder.Feed(data)
 	if err != nil {
@@ -96,7 +96,7 @@
 			return err
 		}
 	}
-	return nil
+	return checkSize(s.collector.Size())
 }
 
 func (s *chatSink) writeChunk(chunk bhchat.Chunk) error {
--- a/bhentry/chatsink_test.go
+++ b/bhentry/chatsink_test.go
@@ -43,3 +43,23 @@
 		assert.NotContains(t, recorder.Body.String(), "text of "+c.second)
 	}
 }
+
+// Guards against an engine whose answer never ends and that fills the memory of the
+// entry.
+func TestChatOfEndlessBytesIsRefused(t *testing.T) {
+	const enough = 64 << 20
+	request, err := bhchat.Parse([]byte(`{"model":"m","messages":[{"role":"user","content":"week"}]}`))
+	require.NoError(t, err)
+	chunk := []byte(`data: {"id":"c","choices":[{"delta":{"content":"` + strings.Repeat("more ", 2000) + `"}}]}` + "\n\n")
+	for _, status := range []int{http.StatusOK, http.StatusBadRequest} {
+		sink := &chatSink{c: echo.New().NewContext(httptest.NewRequest(http.MethodPost, bhchat.Path, strings.NewReader("")), httptest.NewRecorder()), request: request}
+		_, err = sink.beginAttempt()
+		require.NoError(t, err)
+		require.NoError(t, sink.writeHead(bhwire.Head{Status: status}))
+		bytes := 0
+		for err = nil; err == nil && bytes < enough; bytes += len(chunk) {
+			err = sink.writeData(chunk)
+		}
+		assert.True(t, bhcode.Is(err, bhcode.TooLarge), "status %d: %v", status, err)
+	}
+}
--- a/bhentry/idempotency.go
+++ b/bhentry/idempotency.go
@@ -17,7 +17,7 @@
 
 const (
 	headerIdempotency = "Idempotency-Key"
-	// maxBufferedBytes is the largest response body that a bufferedSink accepts.
+	// maxBufferedBytes is the largest response body that is kept in memory.
 	maxBufferedBytes = 4 << 20
 )
 
@@ -124,13 +124,21 @@
 }
 
 func (s *bufferedSink) writeData(data []byte) error {
-	if s.buffer.Len()+len(data) > maxBufferedBytes {
-		return bhcode.New(bhcode.TooLarge, "the answer is over %d bytes", maxBufferedBytes).WithRan(bhcode.RanYes)
+	if err := checkSize(s.buffer.Len() + len(data)); err != nil {
+		return err
 	}
 	s.buffer.Write(data)
 	return nil
 }
 
+// checkSize returns TooLarge if an answer of that many bytes isn't kept in memory.
+func checkSize(bytes int) error {
+	if bytes <= maxBufferedBytes {
+		return nil
+	}
+	return bhcode.New(bhcode.TooLarge, "the answer is over %d bytes", maxBufferedBytes).WithRan(bhcode.RanYes)
+}
+
 func (s *bufferedSink) flush() {}
 
 func (s *bufferedSink) finish() error { return nil }
--- a/bhplatform/client.go
+++ b/bhplatform/client.go
@@ -28,6 +28,8 @@
 	MaxReply = 64 << 20
 	// DefaultTimeout limits one operation on the table or the host list.
 	DefaultTimeout = 5 * time.Second
+	// MaxReplyHead bounds what is read for the head of a reply, in bytes.
+	MaxReplyHead = 64 << 10
 
 	maxIdleConnsPerHost = 16
 	idleConnTimeout     = 30 * time.Second
@@ -94,6 +96,8 @@
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: MaxReplyHead,
 	}
 	return &Client{baseURL: config.URL, timeout: timeout, httpClient: &http.Client{Transport: transport}}
 }
--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -25,6 +25,8 @@
 	runnerSyncInterval = time.Second
 	// maxErrorBodyBytes bounds the part of an engine's error body that is read.
 	maxErrorBodyBytes = 4 << 10
+	// maxAnswerBytes bounds the text of an item's answer, which is kept in memory.
+	maxAnswerBytes = 4 << 20
 	// probePath is the path requested from an engine after a crash. Any
 	// response, whatever its status, shows that the engine is up.
 	probePath = "/load"
@@ -357,6 +359,9 @@
 			}
 			b.addChunk(chunk)
 		}
+		if b.text.Len() > maxAnswerBytes {
+			return bhbatch.Result{}, bhcode.New(bhcode.UpstreamFailed, "the answer has more than %d bytes", maxAnswerBytes)
+		}
 		if decodeErr != nil {
 			return bhbatch.Result{}, decodeErr
 		}
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -29,6 +29,9 @@
 	dialTimeout         = time.Second
 	maxIdleConnsPerHost = 256
 	idleTimeout         = 30 * time.Second
+	// maxHeadBytes bounds what is read for the head of an answer. Bytes that are no
+	// answer may come without end.
+	maxHeadBytes = 64 << 10
 )
 
 // upstream is one backend on this host: an engine or a plain service.
@@ -72,11 +75,15 @@
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		oneShot: &http.Transport{
 			DialContext:        dialer.DialContext,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
+
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 	}
 }
