--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -139,13 +139,7 @@
 		if c.route == nil || c.route.Kind == bhpolicy.Batch {
 			return bhcode.New(bhcode.NotFound, "the route changed its kind").WithRetryAfter(overloadRetryAfter)
 		}
-		if !c.route.Serves(*service) {
-			if c.origin != nil {
-				return c.noUpstream(*service)
-			}
-			*service = c.chooseService()
-		}
-		return nil
+		return c.checkService(service)
 	}
 	c.view = view
 	if c.account != nil {
@@ -154,6 +148,19 @@
 	return nil
 }
 
+// checkService changes the service if the route no longer serves it. It fails if the
+// call's stream may go on at that service only.
+func (c *call) checkService(service *string) error {
+	switch {
+	case c.route.Serves(*service):
+		return nil
+	case c.origin != nil:
+		return c.noUpstream(*service)
+	}
+	*service = c.chooseService()
+	return nil
+}
+
 // chooseService draws one of the route's services at random by weight, or returns the
 // service that began the call's stream. It returns "" if no service has a weight.
 func (c *call) chooseService() string {
