Soak: broken-off streams, two engine versions, streams taken up, large runs

Engines of two software versions serve side by side and tell theirs in each event; they break streams off inside an event by a reset, by an orderly end of the connection, by a complete last chunk, or by bytes without end. Clients take a broken stream up at any gateway, and each stream and item is checked to be whole and of one version. Every tenth seed runs 40 gateways and 40 runners.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -61,26 +61,40 @@
 	})
 	status, header, answer, whole := c.do(http.MethodPost, gateway, path, id, key, body)
 	record := c.world.record
+	if strings.HasPrefix(path, "/resume/") {
+		record.count(func(c *counts) {
+			if status == http.StatusOK && answer != "" {
+				c.begun++
+			} else {
+				c.broken++
+			}
+		})
+	}
 	if header.Get("Server-Leaving") != "" {
 		record.passedOn(gateway, header.Get(startHeader))
 	}
 	switch {
 	case status == 0:
 	case promised(status):
-		record.mu.Lock()
-		record.attempts[id].promised = true
-		record.mu.Unlock()
+		record.promise(id)
 	case status == http.StatusOK && whole:
-		want := plainAnswer(id)
-		if strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/") {
-			want = wholeStream(id, liveEvents)
+		right := answer == plainAnswer(id)
+		if isStream(path) {
+			right = wholeStream(id, answer, liveEvents)
 		}
-		if answer != want || header.Get("X-Response-Signature") != signature(id) {
+		if !right || header.Get("X-Response-Signature") != signature(id) {
 			record.broken("request %s got another answer: %q", id, answer)
 		}
 		record.mu.Lock()
 		record.served++
 		record.mu.Unlock()
+	case status == http.StatusOK && isStream(path):
+		if fault := checkEvents(id, answer); fault != "" {
+			record.broken("stream %s broke off wrongly: %s", id, fault)
+		}
+		if strings.HasPrefix(path, "/resume/") && answer != "" {
+			c.takeUp(id, tenant, path, answer)
+		}
 	case status == http.StatusOK:
 	case header.Get("X-Response-Signature") != "":
 		record.broken("request %s: status %d with an upstream's signature", id, status)
@@ -89,6 +103,10 @@
 	}
 }
 
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/stream/") || strings.HasPrefix(path, "/resume/")
+}
+
 func promised(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
@@ -97,8 +115,9 @@
 	return false
 }
 
-// do makes one call; status 0 means that no answer came.
-func (c *client) do(method, gateway, path, id, key, body string) (int, http.Header, string, bool) {
+// do makes one call, with further header fields as names and values; status 0 means
+// that no answer came.
+func (c *client) do(method, gateway, path, id, key, body string, header ...string) (int, http.Header, string, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(body))
@@ -111,6 +130,9 @@
 	request.Header.Set("Authorization", "Token "+key)
 	request.Header.Set("X-Deadline-Ms", fmt.Sprint(attemptTimeout.Milliseconds()))
 	request.Header.Set("X-Tenant", "forged")
+	for i := 0; i+1 < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
 	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, nil, "", false
@@ -267,7 +289,7 @@
 		c.world.record.broken("job %s lists item %s", id, got.ID)
 	case doomed != (got.State == "dead_lettered"):
 		c.world.record.broken("item %s with body %q is %s", got.ID, a.body, got.State)
-	case !doomed && got.Text != wholeText(got.ID, itemEvents):
+	case !doomed && !wholeText(got.ID, got.Text, itemEvents):
 		c.world.record.broken("item %s has the text %q", got.ID, got.Text)
 	}
 }
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -28,7 +27,9 @@
 
 // engine is an upstream that admits requests in order of arrival.
 type engine struct {
-	id      string
+	id string
+	// version is that of the engine's software, which each event tells.
+	version string
 	address string
 	proxy   *proxy
 	record  *recorder
@@ -39,14 +40,17 @@
 	// engine leaves.
 	born    int
 	leaving bool
-	running int
-	waiting int
+	// sabotaged is the share of the streams that the engine breaks off in one of the
+	// ways of sabotage.
+	sabotaged float64
+	running   int
+	waiting   int
 }
 
-func newEngine(t *testing.T, id string, record *recorder) *engine {
+func newEngine(t *testing.T, id, version string, record *recorder) *engine {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e := &engine{id: id, record: record, born: 1, slots: make(chan struct{}, engineSlots)}
+	e := &engine{id: id, version: version, record: record, born: 1, slots: make(chan struct{}, engineSlots)}
 	e.proxy = newProxy(t, listener.Addr().String())
 	e.address = e.proxy.address()
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute}
@@ -119,34 +123,16 @@
 	case strings.HasPrefix(body, "poison"):
 		w.WriteHeader(http.StatusUnprocessableEntity)
 	case strings.HasPrefix(body, "break"):
-		stream(w, r, id, liveEvents/2)
-		panic(http.ErrAbortHandler)
+		e.stream(w, r, liveEvents/2, resets)
 	case strings.HasPrefix(body, "fail"):
 		w.WriteHeader(http.StatusInternalServerError)
 	case strings.HasPrefix(r.URL.Path, "/safe/"), strings.HasPrefix(r.URL.Path, "/unsafe/"):
 		time.Sleep(plainTime)
 		fmt.Fprint(w, plainAnswer(id))
 	case strings.HasPrefix(r.URL.Path, "/jobs/"):
-		stream(w, r, id, itemEvents)
+		e.stream(w, r, itemEvents, e.drawSabotage())
 	default:
-		stream(w, r, id, liveEvents)
-	}
-}
-
-func stream(w http.ResponseWriter, r *http.Request, id string, events int) {
-	after, err := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if err != nil {
-		after = 0
-	}
-	w.Header().Set("Content-Type", "text/event-stream")
-	for i := after + 1; i <= events; i++ {
-		select {
-		case <-r.Context().Done():
-			return
-		case <-time.After(eventGap):
-		}
-		fmt.Fprintf(w, "id: %d\ndata: %s:%d\n\n", i, id, i)
-		_ = http.NewResponseController(w).Flush()
+		e.stream(w, r, liveEvents, e.drawSabotage())
 	}
 }
 
@@ -184,19 +170,3 @@
 func signature(id string) string { return "signed-" + id }
 
 func plainAnswer(id string) string { return strings.Repeat(id+" ", 20) }
-
-func wholeStream(id string, events int) string {
-	var text strings.Builder
-	for i := range events {
-		fmt.Fprintf(&text, "id: %d\ndata: %s:%d\n\n", i+1, id, i+1)
-	}
-	return text.String()
-}
-
-func wholeText(id string, events int) string {
-	var lines []string
-	for i := range events {
-		lines = append(lines, fmt.Sprintf("%s:%d", id, i+1))
-	}
-	return strings.Join(lines, "\n")
-}
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -53,6 +53,8 @@
 	faults []string
 	served int
 	total  int
+	// streams counts what became of streams that may be resumed.
+	streams counts
 }
 
 func newRecorder() *recorder {
@@ -76,6 +78,13 @@
 	r.total++
 }
 
+// promise notes that an answer says that the request never runs.
+func (r *recorder) promise(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.attempts[id].promised = true
+}
+
 // passedOn notes that a gateway passed on an answer of a leaving engine.
 func (r *recorder) passedOn(gateway, start string) {
 	r.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,10 @@
 const (
 	gateways = 3
 	engines  = 3
+	// Each largeEvery-th seed runs this many gateways, and as many engines, each with
+	// a runner.
+	largeSize  = 40
+	largeEvery = 10
 	// lead is the time for the processes to start.
 	lead = 2 * time.Second
 	// troubleTime is how long faults come, quietTime how long the jobs have after.
@@ -127,7 +131,7 @@
 	t.Cleanup(server.Close)
 	address := server.Listener.Addr().String()
 	for i := range engines {
-		w.engines = append(w.engines, newEngine(t, fmt.Sprintf("i-%d", i), w.record))
+		w.engines = append(w.engines, newEngine(t, fmt.Sprintf("i-%d", i), []string{"v1", "v1.1"}[i%2], w.record))
 		w.list(i, "ready")
 	}
 	w.configure()
@@ -143,7 +147,11 @@
 }
 
 func play(t *testing.T, seed uint64) {
-	w := newWorld(t, seed, gateways, engines)
+	gatewayCount, engineCount := gateways, engines
+	if seed%largeEvery == 0 {
+		gatewayCount, engineCount = largeSize, largeSize
+	}
+	w := newWorld(t, seed, gatewayCount, engineCount)
 	time.Sleep(lead)
 	w.run(seed)
 	for _, p := range w.processes {
@@ -154,7 +162,7 @@
 	for _, fault := range w.record.finish(rates) {
 		t.Errorf("seed %d: %s", seed, fault)
 	}
-	t.Logf("seed %d: %d of %d requests served, %d jobs accepted", seed, w.record.served, w.record.total, w.accepted)
+	t.Logf("seed %d: %d of %d requests served, %d jobs accepted, streams %+v", seed, w.record.served, w.record.total, w.accepted, w.record.streams)
 	assert.Greater(t, w.record.served, w.record.total/5, "seed %d", seed)
 	assert.Positive(t, w.accepted, "seed %d", seed)
 }
@@ -223,7 +231,7 @@
 	mode := proxyMode(1 + random.IntN(int(proxyModes)-1))
 	last := time.Duration(500+random.IntN(4000)) * time.Millisecond
 	trouble := []bhstand.Fault{bhstand.Refuse, bhstand.Lose, bhstand.Delay}[random.IntN(3)]
-	switch random.IntN(11) {
+	switch random.IntN(13) {
 	case 0:
 		return func(ctx context.Context) { p.store.set(mode); pause(ctx, last); p.store.set(pass) }
 	case 1:
@@ -257,6 +265,8 @@
 			w.engines[e].restart()
 			w.list(e, "ready")
 		}
+	case 10, 11:
+		return func(ctx context.Context) { w.engines[e].sabotage(0.5); pause(ctx, last); w.engines[e].sabotage(0) }
 	default:
 		return func(context.Context) { p.signal(syscall.SIGHUP); w.engines[e].proxy.reset() }
 	}
@@ -298,6 +308,7 @@
 	w.store.set(bhstand.Serve)
 	for i, e := range w.engines {
 		e.proxy.set(pass)
+		e.sabotage(0)
 		e.restart()
 		w.list(i, "ready")
 	}
@@ -349,7 +360,7 @@
 	born := e.born
 	e.mu.Unlock()
 	require.NoError(w.t, w.store.put("servers", e.id, map[string]any{
-		"service": "llm", "address": e.address, "zone": "z", "version": "v1", "slots": engineSlots, "state": state, "born": born,
+		"service": "llm", "address": e.address, "zone": "z", "version": e.version, "slots": engineSlots, "state": state, "born": born,
 	}))
 }
 
