--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -114,14 +114,14 @@
 	if c.route.Kind == bhpolicy.Batch {
 		return c.submit()
 	}
+	if err := c.takeQuota(); err != nil {
+		return err
+	}
 	if c.takesUp() {
 		if err := c.findOrigin(c.r.Context()); err != nil {
 			return err
 		}
 	}
-	if err := c.takeQuota(); err != nil {
-		return err
-	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	return c.forward(ctx)
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -292,11 +292,15 @@
 }
 
 // isEventStream reports whether the answer with the header is a stream of events.
-// Upstreams don't always declare one, so only an answer that is declared as data of
-// another kind, such as JSON, isn't.
+// Upstreams don't always declare one, and HTTP servers that guess the type take it for
+// plain text, so only an answer that is declared as data of another kind isn't.
 func isEventStream(header http.Header) bool {
-	kind, _, _ := strings.Cut(header.Get("Content-Type"), "/")
-	return kind == "" || strings.EqualFold(strings.TrimSpace(kind), "text")
+	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	switch strings.ToLower(strings.TrimSpace(kind)) {
+	case "", "text/event-stream", "text/plain":
+		return true
+	}
+	return false
 }
 
 // meansNotRun reports whether the status tells a client that its request did not
