--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -60,46 +60,52 @@
 		once: !strings.HasPrefix(path, "/safe/") && !strings.HasPrefix(path, "/resume/"),
 	})
 	status, header, answer, whole := c.do(http.MethodPost, gateway, path, id, key, body)
-	record := c.world.record
-	if strings.HasPrefix(path, "/resume/") {
-		record.count(func(c *counts) {
-			if status == http.StatusOK && answer != "" {
-				c.begun++
-			} else {
-				c.broken++
-			}
-		})
-	}
 	if header.Get("Server-Leaving") != "" {
-		record.passedOn(gateway, header.Get(startHeader))
+		c.world.record.passedOn(gateway, header.Get(startHeader))
 	}
 	switch {
 	case status == 0:
 	case promised(status):
-		record.promise(id)
-	case status == http.StatusOK && whole:
-		right := answer == plainAnswer(id)
-		if isStream(path) {
-			right = wholeStream(id, answer, liveEvents)
-		}
-		if !right || header.Get("X-Response-Signature") != signature(id) {
-			record.broken("request %s got another answer: %q", id, answer)
+		c.world.record.promise(id)
+	case status == http.StatusOK:
+		c.checkSuccess(id, path, header, answer, whole)
+	default:
+		c.checkFailure(id, key, status, header, answer)
+	}
+	if strings.HasPrefix(path, "/resume/") {
+		begun := status == http.StatusOK && answer != ""
+		c.world.record.begin(begun)
+		if begun && !whole {
+			c.takeUp(id, tenant, path, answer)
 		}
-		record.mu.Lock()
-		record.served++
-		record.mu.Unlock()
-	case status == http.StatusOK && isStream(path):
-		if fault := checkEvents(id, answer); fault != "" {
+	}
+}
+
+// checkSuccess checks an answer with status 200, which may have broken off.
+func (c *client) checkSuccess(id, path string, header http.Header, answer string, whole bool) {
+	record := c.world.record
+	if !whole {
+		if fault := checkEvents(id, answer); isStream(path) && fault != "" {
 			record.broken("stream %s broke off wrongly: %s", id, fault)
 		}
-		if strings.HasPrefix(path, "/resume/") && answer != "" {
-			c.takeUp(id, tenant, path, answer)
-		}
-	case status == http.StatusOK:
+		return
+	}
+	right := answer == plainAnswer(id)
+	if isStream(path) {
+		right = wholeStream(id, answer, liveEvents)
+	}
+	if !right || header.Get("X-Response-Signature") != signature(id) {
+		record.broken("request %s got another answer: %q", id, answer)
+	}
+	record.serve()
+}
+
+func (c *client) checkFailure(id, key string, status int, header http.Header, answer string) {
+	switch {
 	case header.Get("X-Response-Signature") != "":
-		record.broken("request %s: status %d with an upstream's signature", id, status)
+		c.world.record.broken("request %s: status %d with an upstream's signature", id, status)
 	case status == http.StatusNotFound, status == http.StatusUnauthorized && !c.world.wasRevoked(key):
-		record.broken("request %s was denied with %d: %s", id, status, answer)
+		c.world.record.broken("request %s was denied with %d: %s", id, status, answer)
 	}
 }
 
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -85,6 +85,24 @@
 	r.attempts[id].promised = true
 }
 
+// serve counts a request that was answered as it should be.
+func (r *recorder) serve() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.served++
+}
+
+// begin counts a new stream that may be resumed, and whether it began.
+func (r *recorder) begin(begun bool) {
+	r.count(func(c *counts) {
+		if begun {
+			c.begun++
+		} else {
+			c.broken++
+		}
+	})
+}
+
 // passedOn notes that a gateway passed on an answer of a leaving engine.
 func (r *recorder) passedOn(gateway, start string) {
 	r.mu.Lock()
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -24,11 +25,10 @@
 	// closes cuts an event of an answer with neither length nor chunks, and ends the
 	// connection in an orderly way.
 	closes
-	// ends cuts an event and ends the answer as if it were complete.
-	ends
+	// finishes cuts an event and ends the answer with its last chunk.
+	finishes
 	// babbles sends bytes that never become an event, until the caller closes.
 	babbles
-	sabotages
 )
 
 const (
@@ -45,7 +45,7 @@
 	if rand.Float64() >= e.sabotaged {
 		return none
 	}
-	return resets + sabotage(rand.IntN(int(sabotages-resets)))
+	return []sabotage{resets, closes, finishes, babbles}[rand.IntN(4)]
 }
 
 func (e *engine) sabotage(share float64) {
@@ -70,46 +70,37 @@
 		last = after + rand.IntN(events-after)
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	write, flush := w.Write, http.NewResponseController(w).Flush
+	write, closeOutput := flushed(w), func() {}
 	if how == closes {
-		conn, _, err := http.NewResponseController(w).Hijack()
-		if err != nil {
-			panic(err)
-		}
-		defer conn.Close()
-		write, flush = conn.Write, func() error { return nil }
-		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n")
-		if err := w.Header().Write(conn); err != nil {
-			return
-		}
-		fmt.Fprint(conn, "\r\n")
+		write, closeOutput = unframed(w)
 	}
+	defer closeOutput()
 	for i := after + 1; i <= last; i++ {
 		select {
 		case <-r.Context().Done():
 			return
 		case <-time.After(eventGap):
 		}
-		if _, err := write([]byte(event(id, i, e.version))); err != nil {
+		if write(event(id, i, e.version)) != nil {
 			return
 		}
-		_ = flush()
 	}
-	if how == none {
-		return
+	if how != none {
+		part := event(id, last+1, e.version)
+		e.breakOff(id, part[:1+rand.IntN(len(part)-1)], how, write)
 	}
-	part := event(id, last+1, e.version)
-	_, err = write([]byte(part[:1+rand.IntN(len(part)-1)]))
-	_ = flush()
+}
+
+// breakOff ends a stream with a part of an event.
+func (e *engine) breakOff(id, part string, how sabotage, write func(string) error) {
+	err := write(part)
 	switch how {
 	case resets:
 		panic(http.ErrAbortHandler)
 	case babbles:
-		bytes := 0
-		for block := []byte(strings.Repeat("babble ", 1000)); err == nil; {
-			var n int
-			n, err = write(block)
-			if bytes += n; bytes > maxBabble {
+		block, bytes := strings.Repeat("babble ", 1000), 0
+		for ; err == nil; err = write(block) {
+			if bytes += len(block); bytes > maxBabble {
 				e.record.broken("over %d bytes that are no event were read of request %s", maxBabble, id)
 				return
 			}
@@ -117,6 +108,32 @@
 	}
 }
 
+// flushed returns a function that writes and flushes text in chunks.
+func flushed(w http.ResponseWriter) func(string) error {
+	return func(text string) error {
+		_, err := io.WriteString(w, text)
+		_ = http.NewResponseController(w).Flush()
+		return err
+	}
+}
+
+// unframed begins an answer with neither length nor chunks. It returns functions that
+// write text of the body, and that end the connection in an orderly way.
+func unframed(w http.ResponseWriter) (write func(string) error, end func()) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	write = func(text string) error {
+		_, err := io.WriteString(conn, text)
+		return err
+	}
+	var head strings.Builder
+	_ = w.Header().Write(&head)
+	_ = write("HTTP/1.1 200 OK\r\n" + head.String() + "\r\n")
+	return write, func() { _ = conn.Close() }
+}
+
 func event(stream string, number int, version string) string {
 	return fmt.Sprintf("id: %d\ndata: %s:%d:%s\n\n", number, stream, number, version)
 }
