A stream that a client takes up must go on after the client's last event

An engine that doesn't know Last-Event-Id, or goes on elsewhere, would have given the client events twice or skipped some.

The progress of such a stream now begins at the client's event. It also lets the gateway go on at another upstream if the first one breaks off before any event.

TestStreamThatIsTakenUpMustFollowTheClientsLastEvent fails without the change and passes with it.

--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -18,7 +18,7 @@
 	c.recordOrigin(first.instance)
 	c.writeHead(first.answer, -1)
 	c.flush()
-	progress := &bhevent.Progress{}
+	progress := c.newProgress()
 	err := c.relayEvents(first, progress)
 	if err == nil && !c.firstEventAt.IsZero() && c.choice.load.Slots > 0 && !full(c.choice.load) {
 		c.gate.times.observe(first.instance.Service, c.firstEventAt.Sub(first.sentAt), time.Since(first.sentAt))
@@ -38,6 +38,17 @@
 	return c.finalError(ctx, err, err)
 }
 
+// newProgress returns the progress of a new stream, or that of a stream that the client
+// takes up, which must go on after the client's last event.
+func (c *call) newProgress() *bhevent.Progress {
+	progress := &bhevent.Progress{}
+	if c.takesUp() {
+		progress.Last = c.r.Header.Get(c.gate.config.Dialect.LastEvent)
+		progress.Resume()
+	}
+	return progress
+}
+
 // resume continues the stream at another upstream after the last relayed event.
 // It reports whether one more upstream may be tried.
 func (c *call) resume(ctx context.Context, progress *bhevent.Progress, excluded map[string]bool) (bool, error) {
--- a/bhgate/version_test.go
+++ b/bhgate/version_test.go
@@ -137,3 +137,28 @@
 }
 func justStarted(view *bhwatch.View, now time.Duration) { view.Versions.Since = now - time.Second }
 func oldList(view *bhwatch.View, now time.Duration)     { view.Versions.ReadAt = now - 5*time.Second }
+
+// Guards against an engine that doesn't go on after the event that the client names:
+// the client would get events twice, or miss some.
+func TestStreamThatIsTakenUpMustFollowTheClientsLastEvent(t *testing.T) {
+	fromStart := func(w http.ResponseWriter, r *http.Request, number int) {
+		r.Header.Del("Last-Event-Id")
+		streamEvents(20, 0)(w, r, number)
+	}
+	for _, attempts := range []int{1, 2} {
+		wrong, right := newUpstream(t, fromStart), newUpstream(t, streamEvents(20, 0))
+		route := resumableRoute
+		route.MaxAttempts = attempts
+		g := newTestGate(t, route, wrong, right)
+		g.setVersions("v1", "v1")
+		_, body, err := g.do(g.request("/a/x", takeUp("r1", "7")))
+		if attempts == 1 {
+			require.Error(t, err)
+			assert.Empty(t, body)
+			continue
+		}
+		require.NoError(t, err)
+		assert.Equal(t, wholeStream(20)[len(wholeStream(7)):], body)
+		assert.Equal(t, "7", right.last().Header.Get("Last-Event-Id"))
+	}
+}
