--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -3,8 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
@@ -95,6 +99,8 @@
 	if err != nil {
 		return err
 	}
+	bhlog.Event(ir.runner.config.Logger, "item.sent", "item", ir.item.ID, "job", ir.job.ID, "account", ir.job.Account, "upstream", instance.ID,
+		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "parts", strings.Join(traits.Parts, ","))
 	sentAt := time.Now()
 	err = ir.send(ctx, instance)
 	switch {
@@ -111,6 +117,9 @@
 	return err
 }
 
+// bodyDigest returns a short digest of the body, by which logs tell bodies apart.
+func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
 // holdBack releases the claim of an item that may not run before the time that the
 // error tells. The caller holds the runner's mutex.
 func (ir *itemRun) holdBack(err error) {
