A prompt that ends engines counts in all requests and items that have it

Ends of engines were counted by account and body, and by account and shared part, so each item had to end three engines before it was held, and had three trials of its own. The class is that of the crashing part: evidence filed under a name too narrow to meet again. It stood in items, in live requests of different contents, and in chats of the project's own interface that differ in their other fields.

The fix: the digest of the whole prompt, by host and whatever the account, is a third trait beside content and parts, decided by the same rules. A sound run with the prompt clears it.

--- a/bhcrash/culprits.go
+++ b/bhcrash/culprits.go
@@ -4,7 +4,7 @@
 
 // culprits returns the crashing digests: again and again the one under which most
 // upstreams ended, whose crashes then explain those of the digests that ran beside it.
-// A content goes before the parts of its prompt. Parts under which the same upstreams
+// A prompt goes before the contents that have it, a content before the parts of its prompt. Parts under which the same upstreams
 // ended can't be told apart, and are all returned.
 func (l *Ledger) culprits(now time.Time) map[string]bool {
 	open := l.suspicious(now)
@@ -54,10 +54,13 @@
 	return best
 }
 
+// kindRanks orders the kinds of digests.
+var kindRanks = map[digestKind]int{kindPrompt: 0, kindContent: 1, kindPart: 2}
+
 // goesBefore orders digests with as many sources.
 func goesBefore(a, b string) bool {
-	if isPart(a) != isPart(b) {
-		return isPart(b)
+	if rank := kindRanks[kindOf(a)] - kindRanks[kindOf(b)]; rank != 0 {
+		return rank < 0
 	}
 	return a < b
 }
--- a/bhcrash/decide_test.go
+++ b/bhcrash/decide_test.go
@@ -16,8 +16,8 @@
 func TestTrialsWithTheCrashingPartDontCondemnTheOther(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		l := NewLedger()
-		own, crashing := digest(true, "zoo", "own"), digest(true, "zoo", "crashing")
-		both, sound := Traits{Content: digest(false, "1"), Parts: []string{own, crashing}}, Traits{Content: digest(false, "2"), Parts: []string{own}}
+		own, crashing := digest(kindPart, "zoo", "own"), digest(kindPart, "zoo", "crashing")
+		both, sound := Traits{Content: digest(kindContent, "1"), Parts: []string{own, crashing}}, Traits{Content: digest(kindContent, "2"), Parts: []string{own}}
 		ends := 0
 		end := func(decision Decision, digests ...string) {
 			ends++
--- /dev/null
+++ b/bhcrash/model_prompts_test.go
@@ -0,0 +1,48 @@
+package bhcrash
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// promptDays are days on which requests and items of several accounts have the same
+// prompt, and no content in common.
+var promptDays = []modelDay{
+	{name: "prompt", upstreams: 18, perSecond: 60, runTime: time.Second, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
+	{name: "prompt, eight items", upstreams: 18, perSecond: 60, runTime: time.Second, lethalPrompts: 1, promptsSent: 8, lethalFrom: 6 * time.Second, lethalTo: 80 * time.Second},
+	{name: "two prompts, parts", upstreams: 18, perSecond: 60, runTime: time.Second, prompts: true, lethalPrompts: 2, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
+	{name: "prompt and content", upstreams: 18, perSecond: 60, runTime: time.Second, polled: 0.2, lethal: 1, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
+	{name: "prompt in bursts", upstreams: 18, perSecond: 60, runTime: time.Second, lethalPrompts: 1, lethalFrom: 8 * time.Second, lethalTo: 50 * time.Second, bursts: seconds(10, 12, 14, 30), burstShare: 0.5},
+	{name: "prompt, little load", upstreams: 18, perSecond: 6, runTime: time.Second, prompts: true, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
+	{name: "bursts, sound prompts", upstreams: 18, perSecond: 60, runTime: time.Second, polled: 0.2, prompts: true, bursts: seconds(10, 11, 12, 13, 14, 15, 16, 40), burstShare: 0.6},
+}
+
+// sendLethalPrompts sends requests with each of the lethal prompts. Those that are counted
+// come again until lethalTo, as items do.
+func (f *modelFleet) sendLethalPrompts() {
+	for i := range f.day.lethalPrompts {
+		name := fmt.Sprint("02lethal", i)
+		senders := max(1, f.day.promptsSent)
+		for sender := range senders {
+			f.requests.Go(func() {
+				time.Sleep(f.day.lethalFrom + time.Duration(sender)*1500*time.Millisecond)
+				for n := 0; time.Since(f.began) < f.day.lethalTo; n++ {
+					content := sender
+					if f.day.promptsSent == 0 {
+						content = n
+					}
+					traits := Traits{Content: fmt.Sprint(name, "-", content), Prompt: name, Parts: []string{part("account", content%accounts)}}
+					f.requests.Go(func() { f.request(traits, name) })
+					time.Sleep(time.Duration(senders) * 125 * time.Millisecond)
+				}
+			})
+		}
+	}
+}
+
+// TestBothErrorsForPrompts is TestBothErrorsOfDecide for whole prompts that end upstreams
+// in requests of several accounts, each with a content of its own.
+//
+//	BAOBAB_MEASURE=1 go test -v -run BothErrorsForPrompts ./bhcrash   all ways weighed
+func TestBothErrorsForPrompts(t *testing.T) { measureErrors(t, promptDays, 0.5) }
--- a/bhcrash/model_test.go
+++ b/bhcrash/model_test.go
@@ -60,6 +60,9 @@
 	{"refuse after 2", refuseAfter(2)},
 	{"refuse after 3", refuseAfter(3)},
 	{"refuse culprits", refuseCulprits},
+	{"by content, parts", func(l *Ledger, traits Traits) Decision {
+		return l.Decide(Traits{Content: traits.Content, Parts: traits.Parts})
+	}},
 	{"culprits, trials", (*Ledger).Decide},
 }
 
@@ -83,6 +86,11 @@
 	// without a lethal part.
 	lethalParts int
 	prompts     bool
+	// lethalPrompts is the number of whole prompts that end upstreams. Each comes in
+	// requests of several accounts, no two of them alike. promptsSent is how many
+	// requests have each; zero means one after the other until lethalTo.
+	lethalPrompts int
+	promptsSent   int
 	// bursts are the times at which upstreams end for another reason, burstShare of
 	// them.
 	bursts     []time.Duration
@@ -178,12 +186,13 @@
 			}
 		})
 	}
+	f.sendLethalPrompts()
 	for n := 0; time.Since(f.began) < dayLength; n++ {
 		digest := fmt.Sprint("one", n)
 		if f.draw() < day.polled {
 			digest = fmt.Sprint("polled", n%4)
 		}
-		traits := Traits{Content: digest, Parts: f.drawParts()}
+		traits := Traits{Content: digest, Prompt: "02" + digest, Parts: f.drawParts()}
 		f.requests.Go(func() { f.request(traits, "") })
 		time.Sleep(time.Duration(float64(time.Second) / day.perSecond))
 	}
--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -40,6 +40,8 @@
 	url      string
 	admin    string
 	platform *bhstand.Platform
+	// tokens is added to the most tokens that a chat asks for.
+	tokens int
 }
 
 // newTestCluster starts a cluster that serves each handler as an upstream of
--- a/bhentry/prompts.go
+++ b/bhentry/prompts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
@@ -59,13 +60,18 @@
 	return nil
 }
 
-// promptTraits returns the traits of a chat's shared parts: its messages but the last.
+// promptTraits returns the traits of a chat's prompt: all of its messages, and those but
+// the last as parts that others may share. Sidecars count its content.
 func promptTraits(account string, request bhchat.Request) bhcrash.Traits {
+	prompt := strconv.Quote(request.Model)
 	var parts []string
-	for _, message := range request.Messages[:max(0, len(request.Messages)-1)] {
+	for _, message := range request.Messages {
+		prompt += strconv.Quote(message.Role) + strconv.Quote(message.Content)
 		parts = append(parts, message.Role+"\x00"+message.Content)
 	}
-	return bhcrash.Traits{Parts: bhcrash.Content{Account: account, Parts: parts}.Traits().Parts}
+	traits := bhcrash.Content{Account: account, Prompt: prompt, Parts: parts[:max(0, len(parts)-1)]}.Traits()
+	traits.Content = ""
+	return traits
 }
 
 // promptRun is an attempt of a chat that may show that a part of its prompt crashes
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -333,7 +333,7 @@
 func (r *Registry) recordLoss(loss Loss) {
 	r.metrics.losses.Inc(1)
 	loss.Upstream = r.presentStart(loss)
-	bhlog.Event(r.config.Logger, "crash.recorded", "content", loss.Traits.Content, "parts", strings.Join(loss.Traits.Parts, ","),
+	bhlog.Event(r.config.Logger, "crash.recorded", "content", loss.Traits.Content, "prompt", loss.Traits.Prompt, "parts", strings.Join(loss.Traits.Parts, ","),
 		"upstream", loss.Upstream.Host, "trial", loss.Permit != nil)
 	var entries []entry
 	for _, digest := range loss.Traits.All() {
--- a/bhforward/dialect.go
+++ b/bhforward/dialect.go
@@ -30,6 +30,17 @@
 	// Parts returns the IDs of the parts of a request's prompt, in their order. The
 	// last one belongs to the request alone. Nil if requests don't name any.
 	Parts func(header http.Header) []string
+	// Prompt returns what names a request's model and whole prompt; empty if the request
+	// names no prompt. Nil if none does.
+	Prompt func(header http.Header) string
+}
+
+// WholePrompt returns what names the request's model and whole prompt, or "".
+func (d *Dialect) WholePrompt(header http.Header) string {
+	if d.Prompt == nil {
+		return ""
+	}
+	return d.Prompt(header)
 }
 
 // SharedParts returns the IDs of the parts of a request's prompt that other requests
--- a/bhgate/crash.go
+++ b/bhgate/crash.go
@@ -29,7 +29,7 @@
 func (c *call) content() bhcrash.Content {
 	return bhcrash.Content{
 		Account: c.accountName(), Method: c.r.Method, Host: c.r.Host, Target: c.r.RequestURI, Body: c.body,
-		Parts: c.gate.config.Dialect.SharedParts(c.r.Header),
+		Prompt: c.gate.config.Dialect.WholePrompt(c.r.Header), Parts: c.gate.config.Dialect.SharedParts(c.r.Header),
 	}
 }
 
--- a/bhgate/crash_test.go
+++ b/bhgate/crash_test.go
@@ -69,7 +69,7 @@
 	id := fmt.Sprint("c-", s.started)
 	var u *fakeUpstream
 	u = newUpstream(s.t, func(w http.ResponseWriter, r *http.Request, _ int) {
-		if !strings.Contains(r.URL.Path, "kill") && !slices.Contains(testDialect.SharedParts(r.Header), lethalPart) {
+		if !strings.Contains(r.URL.Path, "kill") && r.Header.Get("Parts") != lethalPrompt && !slices.Contains(testDialect.SharedParts(r.Header), lethalPart) {
 			answerEvent(w, r, 0)
 			return
 		}
@@ -166,6 +166,24 @@
 	}
 }
 
+// lethalPrompt is a whole prompt that ends each upstream that answers it.
+const lethalPrompt = "system,own-bad"
+
+// TestCrashingPromptIsNotSentForever guards against a prompt that ends each upstream that
+// answers it, in requests no two of the same content. Requests with the same shared parts
+// are served at once.
+func TestCrashingPromptIsNotSentForever(t *testing.T) {
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, MaxAttempts: 2, Resumable: true})
+	s := newCrashingService(t, g, 4)
+	for attempt := range 25 {
+		path := fmt.Sprint("/a/", attempt)
+		_, _, err := g.do(g.request(path, requestID("bad", attempt), prompt(lethalPrompt)))
+		_ = err // a broken answer is what the client of such a request gets
+		require.Equal(t, http.StatusOK, g.status(g.request(path+"ok", requestID("ok", attempt), prompt("system", path))), "attempt %d", attempt)
+	}
+	assert.LessOrEqual(t, s.crashCount(), maxRunsOfCrashing)
+}
+
 // countingQuota grants each request and counts them.
 type countingQuota struct{ granted atomic.Int64 }
 
--- a/bhgate/helpers_test.go
+++ b/bhgate/helpers_test.go
@@ -29,6 +29,7 @@
 	Parts: func(header http.Header) []string {
 		return strings.FieldsFunc(header.Get("Parts"), func(r rune) bool { return r == ',' })
 	},
+	Prompt: func(header http.Header) string { return header.Get("Parts") },
 }
 
 // fakeUpstream is a server whose handler a test sets. It records its requests.
--- a/bhjob/crash_test.go
+++ b/bhjob/crash_test.go
@@ -130,3 +130,45 @@
 	require.NoError(t, err)
 	assert.Len(t, results.Results, 6, "the items with the part are still owed")
 }
+
+// TestCrashingPromptOfItemsIsNotSentForever guards against a prompt that ends each engine
+// that runs it, in items of several accounts with different bodies: each of them ended three
+// engines before it was held. Items beside them complete, and they aren't given up.
+func TestCrashingPromptOfItemsIsNotSentForever(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	r := newRunnerFixture(t, store, "a")
+	engine := newRestartingEngine(t, r, "")
+	r.engine.set(func(e *fakeEngine) { e.lethalPrompt = "system bad" })
+	jobs := newTestJobStore(store)
+	accounts := []string{"zoo", "farm", "park", "aquarium", "reserve"}
+	for _, account := range accounts {
+		submission := sampleJob("j", 2)
+		submission.Account = account
+		for i := range submission.Items {
+			submission.Items[i].ID = fmt.Sprint(account, i)
+			submission.Items[i].Body = []byte(submission.Items[i].ID)
+			submission.Items[i].Header = map[string]string{"Parts": []string{"system bad", "system " + account}[i]}
+		}
+		require.NoError(t, jobs.Submit(t.Context(), submission))
+	}
+	completed := func(account string) int {
+		results, err := jobs.Results(t.Context(), account, "j", 0)
+		require.NoError(t, err)
+		for _, result := range results.Results {
+			assert.Equal(t, Completed, result.Status)
+		}
+		return len(results.Results)
+	}
+	require.Eventually(t, func() bool {
+		done := 0
+		for _, account := range accounts {
+			done += completed(account)
+		}
+		return done == len(accounts)
+	}, 15*time.Second, 50*time.Millisecond)
+	time.Sleep(6 * time.Second)
+	assert.LessOrEqual(t, engine.endCount(), maxRunsOfCrashing)
+	for _, account := range accounts {
+		assert.Equal(t, 1, completed(account), "the item with the prompt is still owed")
+	}
+}
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -83,7 +83,7 @@
 	}
 	return bhcrash.Content{
 		Account: ir.job.Account, Method: http.MethodPost, Host: ir.job.Host, Target: ir.item.Target, Body: ir.item.Body,
-		Parts: ir.runner.config.Dialect.SharedParts(header),
+		Prompt: ir.runner.config.Dialect.WholePrompt(header), Parts: ir.runner.config.Dialect.SharedParts(header),
 	}.Traits()
 }
 
@@ -100,7 +100,7 @@
 		return err
 	}
 	bhlog.Event(ir.runner.config.Logger, "item.sent", "item", ir.item.ID, "job", ir.job.ID, "account", ir.job.Account, "upstream", instance.ID,
-		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "parts", strings.Join(traits.Parts, ","))
+		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "prompt", traits.Prompt, "parts", strings.Join(traits.Parts, ","))
 	sentAt := time.Now()
 	err = ir.send(ctx, instance)
 	switch {
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -29,7 +29,8 @@
 var dialect = bhforward.Dialect{
 	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Account: "Account",
 	NotRun: "Not-Run", Leaving: "Leaving", LastEvent: "Last-Event-Id", KeyHeader: "Authorization",
-	Parts: func(header http.Header) []string { return strings.Fields(header.Get("Parts")) },
+	Parts:  func(header http.Header) []string { return strings.Fields(header.Get("Parts")) },
+	Prompt: func(header http.Header) string { return header.Get("Parts") },
 }
 
 // fakeEngine is an upstream that streams events as a test configures it.
@@ -50,10 +51,11 @@
 	// answer.
 	crashes int
 	// lethal is the ID of an item under which the engine ends, lethalPart a part of
-	// prompts: the engine closes its listener and all connections, and onEnd is called.
-	lethal     string
-	lethalPart string
-	onEnd      func()
+	// prompts, lethalPrompt a whole prompt: the engine closes its listener and all connections, and onEnd is called.
+	lethal       string
+	lethalPart   string
+	lethalPrompt string
+	onEnd        func()
 	// next answers the next request instead, if it isn't nil.
 	next func(w http.ResponseWriter, r *http.Request)
 	// live is the reported number of running live requests, waiting that of
@@ -95,14 +97,14 @@
 	if e.leaving {
 		w.Header().Set(dialect.Leaving, "1")
 	}
-	next, lethal, lethalPart, onEnd := e.next, e.lethal, e.lethalPart, e.onEnd
+	next, onEnd, ends := e.next, e.onEnd, e.isLethal(r)
 	e.abortAfter, e.next = 0, nil
 	crash := e.crashes > 0
 	e.crashes = max(0, e.crashes-1)
 	e.running++
 	e.mu.Unlock()
 	defer e.set(func(e *fakeEngine) { e.running-- })
-	if lethal != "" && r.Header.Get(dialect.RequestID) == lethal || lethalPart != "" && slices.Contains(dialect.SharedParts(r.Header), lethalPart) {
+	if ends {
 		onEnd()
 		return
 	}
@@ -137,6 +139,13 @@
 	}
 }
 
+// isLethal reports whether the engine ends under the request. The caller holds e.mu.
+func (e *fakeEngine) isLethal(r *http.Request) bool {
+	return e.lethal != "" && r.Header.Get(dialect.RequestID) == e.lethal ||
+		e.lethalPart != "" && slices.Contains(dialect.SharedParts(r.Header), e.lethalPart) ||
+		e.lethalPrompt != "" && r.Header.Get("Parts") == e.lethalPrompt
+}
+
 func (e *fakeEngine) requestHeaders() []http.Header {
 	e.mu.Lock()
 	defer e.mu.Unlock()
