Items under which engines ended run one at a time at an engine

Cause: a runner resumes all items that broke in a crash together, so the sound one died in each of the crashing one's crashes. With as many ends under both, the digests' order decided which of them explains the other.

TestItemBesideACrashingOneIsToldApart fails on the code before (4 or 5 ends before the first trial, in each of four rounds; three are needed) and passes now.

Ruled out: a lost count (both have three ends in all ledgers).

Why it works: from the second end on only one of them runs at an engine, so the third end is the crashing one's alone.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -313,11 +313,17 @@
 
 // Accused reports whether crashes of the digest are recorded, so that a run without
 // a crash has to be shared.
-func (l *Ledger) Accused(digest string) bool {
+func (l *Ledger) Accused(digest string) bool { return l.CountEnds(digest) > 0 }
+
+// CountEnds returns the number of sources that crashed under the digest and still count.
+func (l *Ledger) CountEnds(digest string) int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	history := l.histories[digest]
-	return history != nil && len(history.liveSources(time.Now())) > 0
+	if history == nil {
+		return 0
+	}
+	return len(history.liveSources(time.Now()))
 }
 
 // VisitShared calls visit for all evidence that still counts of each digest with at
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -195,6 +195,12 @@
 	return permit, nil
 }
 
+// Suspected reports whether upstreams ended more than once under the content or the prompt
+// of the traits, which may still be due to something that ran beside it.
+func (r *Registry) Suspected(traits bhcrash.Traits) bool {
+	return r.ledger.CountEnds(traits.Content) >= sharedSources || r.ledger.CountEnds(traits.Prompt) >= sharedSources
+}
+
 // Withheld returns the error Withheld, with the time to come back, if a request with the
 // traits may not be sent now, not even as a trial.
 func (r *Registry) Withheld(traits bhcrash.Traits) error {
--- a/bhjob/crash_test.go
+++ b/bhjob/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"fmt"
 	"net"
 	"net/http"
@@ -172,3 +173,22 @@
 		assert.Equal(t, 1, completed(account), "the item with the prompt is still owed")
 	}
 }
+
+// TestItemBesideACrashingOneIsToldApart guards against an item that is held because it runs
+// at each engine that a crashing item of the same runner ends, while that one goes on.
+func TestItemBesideACrashingOneIsToldApart(t *testing.T) {
+	for range 4 {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		submission := sampleJob("j", 2)
+		for i := range submission.Items {
+			submission.Items[i].ID = rand.Text()
+			submission.Items[i].Body = []byte(submission.Items[i].ID)
+		}
+		r := newRunnerFixture(t, store, "a")
+		engine := newRestartingEngine(t, r, submission.Items[0].ID)
+		r.engine.set(func(e *fakeEngine) { e.eventInterval = 300 * time.Millisecond })
+		require.NoError(t, newTestJobStore(store).Submit(t.Context(), submission))
+		assert.Equal(t, submission.Items[1].ID, r.waitResults("j", 1)[0].ID)
+		assert.LessOrEqual(t, engine.endCount(), 3, "ends before the first trial")
+	}
+}
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -36,6 +36,9 @@
 	Lost(ctx context.Context, loss bhevidence.Loss)
 	// Whole reports that an item with the traits completed.
 	Whole(traits bhcrash.Traits)
+	// Suspected reports whether engines ended more than once under the content or the
+	// prompt of the traits.
+	Suspected(traits bhcrash.Traits) bool
 	// Withheld returns the error Withheld if an item with the traits may not run now.
 	Withheld(traits bhcrash.Traits) error
 }
@@ -95,6 +98,12 @@
 		return err
 	}
 	crashes, traits := ir.runner.config.Crashes, ir.traits()
+	if crashes.Suspected(traits) {
+		if !ir.runner.suspectRuns.CompareAndSwap(false, true) {
+			return errSuspectRuns
+		}
+		defer ir.runner.suspectRuns.Store(false)
+	}
 	permit, err := crashes.Admit(ctx, traits)
 	if err != nil {
 		return err
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -57,11 +57,14 @@
 
 // Outcomes of a request for an item. Other errors count as interruptions.
 var (
-	errRefused   = errors.New("the engine refused the item")
-	errFailed    = errors.New("the engine failed")
-	errRejected  = errors.New("the engine rejected the item for good")
-	errNotServed = errors.New("the item's route does not lead to this engine")
-	errNoRoute   = errors.New("the item's route no longer exists")
+	errRefused = errors.New("the engine refused the item")
+	// errSuspectRuns means that another item under which engines ended runs here. Two that
+	// ran together each time couldn't be told apart.
+	errSuspectRuns = errors.New("another suspect item runs at the engine")
+	errFailed      = errors.New("the engine failed")
+	errRejected    = errors.New("the engine rejected the item for good")
+	errNotServed   = errors.New("the item's route does not lead to this engine")
+	errNoRoute     = errors.New("the item's route no longer exists")
 )
 
 // itemRun is the run of an item that this runner claimed. The runner's mutex
@@ -193,7 +196,7 @@
 		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, err.Error())
 	case errors.Is(err, errFailed):
 		ir.countFailure()
-	case errors.Is(err, errRefused):
+	case errors.Is(err, errRefused), errors.Is(err, errSuspectRuns):
 		ir.pauseFor(refusedRetryDelay)
 	case errors.Is(err, errNotServed):
 		ir.releaseClaim(false)
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -104,6 +105,8 @@
 	// claimSignal receives a value when there are free slots to claim items
 	// for.
 	claimSignal chan struct{}
+	// suspectRuns is set while an item under which engines ended runs here.
+	suspectRuns atomic.Bool
 
 	mu sync.Mutex
 	// runs holds the claimed items by item id, held those not to be claimed yet.
