--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -145,6 +145,10 @@
 	partEnds   = 5
 )
 
+// lethalPrompt ends a whole prompt that ends each engine that runs it, in items of several
+// accounts, no two of the same body.
+const lethalPrompt = "0dead"
+
 // prompt returns the value of the header with the parts of a prompt.
 func prompt(parts ...string) string { return strings.Join(parts, ":100,") + ":100" }
 
@@ -154,7 +158,11 @@
 	if strings.HasPrefix(body, lethalBody) {
 		return body, true
 	}
-	return lethalPart, strings.Contains(r.Header.Get("X-Prompt-Prefix"), lethalPart+":")
+	parts := r.Header.Get("X-Prompt-Prefix")
+	if strings.Contains(parts, lethalPrompt+":") {
+		return lethalPrompt, true
+	}
+	return lethalPart, strings.Contains(parts, lethalPart+":")
 }
 
 // sendLethalPrompts sends requests with the lethal part, no two of them alike, until ctx
@@ -237,16 +245,20 @@
 	}
 }
 
-// lethalJob submits a job of which one item ends each engine, and checks that the other
-// items complete and that this one isn't given up.
-func (c *client) lethalJob(ctx context.Context, tenant string) {
+// lethalJob submits a job of which one item ends each engine, by its body or by its parts,
+// and checks that the other items complete and that this one isn't given up.
+func (c *client) lethalJob(ctx context.Context, tenant, lethal string, parts ...string) {
 	id := c.name
-	bodies := []string{"item a", lethalBody + " item " + id, "item b"}
+	bodies := []string{"item a", lethal + " item " + id, "item b"}
 	var items []map[string]any
 	for i, body := range bodies {
 		item := fmt.Sprintf("%s.%d", id, i)
 		c.world.record.sent(item, &attempt{sent: time.Now(), tenant: tenant, path: "/jobs/" + item, body: body})
-		items = append(items, map[string]any{"id": item, "path": "/jobs/" + item, "body": []byte(body), "tokens": 10})
+		header := map[string]string{}
+		if i == 1 && len(parts) > 0 {
+			header["X-Prompt-Prefix"] = prompt(parts...)
+		}
+		items = append(items, map[string]any{"id": item, "path": "/jobs/" + item, "headers": header, "body": []byte(body), "tokens": 10})
 	}
 	body, err := json.Marshal(map[string]any{"items": items})
 	if err != nil || !c.submit(ctx, id, tenant, string(body)) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -198,7 +198,14 @@
 	defer stopLethal()
 	killer := newClient(w, "kill", seed*10+3)
 	jobs.Go(func() { killer.sendLethal(lethal, "zoo") })
-	jobs.Go(func() { newClient(w, "killjob", seed*10+4).lethalJob(all, "zoo") })
+	jobs.Go(func() { newClient(w, "killjob", seed*10+4).lethalJob(all, "zoo", lethalBody) })
+	for i, tenant := range []string{"zoo", "small", "zoo"} {
+		c := newClient(w, fmt.Sprintf("killprompt%d", i), seed*10+7+uint64(i))
+		jobs.Go(func() {
+			time.Sleep(time.Duration(i) * troubleTime / 4)
+			c.lethalJob(all, tenant, "prompt", "0a", lethalPrompt)
+		})
+	}
 	prompts := newClient(w, "prompt", seed*10+6)
 	jobs.Go(func() { prompts.sendLethalPrompts(lethal, "zoo") })
 	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
