A suspect whose crashes another one explains runs as a trial, not freely

Cause: a digest under which enough upstreams ended, in crashes that another one explains, ran without a trial until two further upstreams had ended. With several lethal requests at a time each of them is explained by another for a while.

Now it runs as a trial that is due at once. A sound one is cleared by it.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -111,9 +111,9 @@
 }
 
 // Decide returns how a request may run by the upstreams that ended under its content and
-// under the parts of its prompt. Crashes during which something ran that is more likely
-// to have caused them don't count, unless a trial ended in one or there are too many. A
-// suspect may run as a trial, one at a time in the fleet.
+// under its prompt and the parts of it. A suspect may run as a trial, one at a time in the
+// fleet: at once if something that is more likely to have caused all its crashes ran in
+// them, and no trial ended in one; otherwise some time after the last crash.
 func (l *Ledger) Decide(traits Traits) Decision {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -128,11 +128,11 @@
 	for _, digest := range accused {
 		live := l.histories[digest].liveSources(now)
 		trials := l.tallyTrials(digest, live, decision.Together, now)
+		decision.Status = Suspect
+		decision.Suspects = append(decision.Suspects, digest)
 		if trials.count == 0 && !culprits[digest] && len(live) < threshold(digest)+surelyMore {
 			continue
 		}
-		decision.Status = Suspect
-		decision.Suspects = append(decision.Suspects, digest)
 		due = later(due, l.nextTrial(digest, live, trials))
 	}
 	if decision.Status == Clear {
--- a/bhcrash/model_prompts_test.go
+++ b/bhcrash/model_prompts_test.go
@@ -15,6 +15,7 @@
 	{name: "prompt and content", upstreams: 18, perSecond: 60, runTime: time.Second, polled: 0.2, lethal: 1, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
 	{name: "prompt in bursts", upstreams: 18, perSecond: 60, runTime: time.Second, lethalPrompts: 1, lethalFrom: 8 * time.Second, lethalTo: 50 * time.Second, bursts: seconds(10, 12, 14, 30), burstShare: 0.5},
 	{name: "prompt, little load", upstreams: 18, perSecond: 6, runTime: time.Second, prompts: true, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
+	{name: "sound prompts, engines", upstreams: 18, perSecond: 60, runTime: time.Second, soundPrompts: 4, lethal: 1, lethalPrompts: 1, lethalFrom: 6 * time.Second, lethalTo: 66 * time.Second},
 	{name: "bursts, sound prompts", upstreams: 18, perSecond: 60, runTime: time.Second, polled: 0.2, prompts: true, bursts: seconds(10, 11, 12, 13, 14, 15, 16, 40), burstShare: 0.6},
 }
 
--- a/bhcrash/model_test.go
+++ b/bhcrash/model_test.go
@@ -91,6 +91,9 @@
 	// requests have each; zero means one after the other until lethalTo.
 	lethalPrompts int
 	promptsSent   int
+	// soundPrompts is the number of prompts that sound requests have, each with a content
+	// of its own; zero gives each content its own.
+	soundPrompts int
 	// bursts are the times at which upstreams end for another reason, burstShare of
 	// them.
 	bursts     []time.Duration
@@ -193,6 +196,9 @@
 			digest = fmt.Sprint("polled", n%4)
 		}
 		traits := Traits{Content: digest, Prompt: "02" + digest, Parts: f.drawParts()}
+		if day.soundPrompts > 0 {
+			traits.Prompt = fmt.Sprint("02sound", n%day.soundPrompts)
+		}
 		f.requests.Go(func() { f.request(traits, "") })
 		time.Sleep(time.Duration(float64(time.Second) / day.perSecond))
 	}
