--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -1,6 +1,7 @@
 package bhcrash
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -147,8 +148,9 @@
 	return decision
 }
 
-// accused returns the digests of the traits under which enough upstreams ended, those
-// with the most first.
+// accused returns the digests of the traits under which enough upstreams ended: prompt,
+// content and parts in turn, the parts with the most first. The first one names the trial,
+// and requests with the same crashing prompt have other parts and contents beside it.
 func (l *Ledger) accused(traits Traits, now time.Time) []string {
 	var digests []string
 	sources := make(map[string]int)
@@ -162,7 +164,9 @@
 			digests = append(digests, digest)
 		}
 	}
-	slices.SortStableFunc(digests, func(a, b string) int { return sources[b] - sources[a] })
+	slices.SortStableFunc(digests, func(a, b string) int {
+		return cmp.Or(kindRanks[kindOf(a)]-kindRanks[kindOf(b)], sources[b]-sources[a])
+	})
 	return digests
 }
 
--- a/bhcrash/model_prompts_test.go
+++ b/bhcrash/model_prompts_test.go
@@ -47,3 +47,13 @@
 //
 //	BAOBAB_MEASURE=1 go test -v -run BothErrorsForPrompts ./bhcrash   all ways weighed
 func TestBothErrorsForPrompts(t *testing.T) { measureErrors(t, promptDays, 0.5) }
+
+// severalDays are days on which several lethal requests, prompts and parts come at a time to
+// few upstreams, beside sound requests with the same two prompts.
+var severalDays = []modelDay{
+	{name: "few upstreams", upstreams: 3, perSecond: 16, runTime: 300 * time.Millisecond, soundPrompts: 2, lethal: 2, lethalParts: 1, lethalPrompts: 1, promptsSent: 3, lethalFrom: 2 * time.Second, lethalTo: 85 * time.Second},
+}
+
+// TestBothErrorsOnFewUpstreams is TestBothErrorsOfDecide for several lethal requests at a
+// time on few upstreams.
+func TestBothErrorsOnFewUpstreams(t *testing.T) { measureErrors(t, severalDays, 0.5) }
