A trial of a prompt or content tests no part beside it

Cause: a trial of the crashing prompt's items had the account's part among its suspects, as the only part. Its crash counted as a trial of that part alone, and three of them refused all of the account's requests with the part for ten minutes.

TestTrialsOfACrashingPromptDontCondemnItsPart fails before (quarantined) and passes now. Ruled out: sound requests taken for one prompt (each has a part of its own).

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -66,9 +66,12 @@
 	RetryAfter time.Duration
 }
 
-// TestOf returns how a run by the decision tests the digest.
+// TestOf returns how a run by the decision tests the digest. Beside a suspected prompt or
+// content it tests no part: these are the likelier cause of a crash.
 func (d Decision) TestOf(digest string) Test {
 	switch {
+	case len(d.Suspects) > 0 && isPart(digest) && !isPart(d.Suspects[0]):
+		return NotTested
 	case len(d.Together) > 1 && slices.Contains(d.Together, digest):
 		return TestedTogether
 	case slices.Contains(d.Suspects, digest):
--- a/bhcrash/decide_test.go
+++ b/bhcrash/decide_test.go
@@ -45,3 +45,38 @@
 		assert.Equal(t, Quarantined, l.Decide(both).Status, "the trials count against the crashing part alone now")
 	})
 }
+
+// TestTrialsOfACrashingPromptDontCondemnItsPart guards against sound requests that are refused
+// for ten minutes because trials of a crashing prompt counted against the part that they
+// share with it.
+func TestTrialsOfACrashingPromptDontCondemnItsPart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLedger()
+		own := digest(kindPart, "zoo", "own")
+		crashing := Traits{Content: digest(kindContent, "1"), Prompt: digest(kindPrompt, "p"), Parts: []string{own}}
+		sound := Traits{Content: digest(kindContent, "2"), Prompt: digest(kindPrompt, "q"), Parts: []string{own}}
+		ends := 0
+		end := func(decision Decision) {
+			ends++
+			for _, d := range crashing.All() {
+				l.RecordLoss(Source{Host: fmt.Sprint("i-", ends)}, d, decision.TestOf(d))
+			}
+		}
+		for range partThreshold {
+			end(Decision{})
+		}
+		for trials := 0; trials < len(trialDelays); {
+			if decision := l.Decide(crashing); decision.Status == Suspect {
+				trials++
+				end(decision)
+			}
+			time.Sleep(time.Second)
+		}
+		require.Equal(t, Quarantined, l.Decide(crashing).Status)
+		time.Sleep(maxCalmWait)
+		assert.Equal(t, Suspect, l.Decide(sound).Status)
+		l.Clear(own)
+		assert.Equal(t, Clear, l.Decide(sound).Status)
+		assert.Equal(t, Quarantined, l.Decide(crashing).Status)
+	})
+}
