The fleet keeps to the limits that upstreams name

Cause: no sender knew the header. And no sender by itself could keep to it: the limit is for all gateways and runners together, less than a request a second for each.

The runner beside an engine owns its limit: it sends the items, reads the limit every 40 ms in the engine's reports, which cost no request, and grants each live request to the gateway that asks, in the same way in which gateways ask it for the engine's load. For upstreams without a runner the gateway that comes first owns the limit, once it has known the list for 5 s. Who doesn't reach the owner takes an equal share of a fifth. The store isn't needed. What a limit doesn't allow goes to another upstream; if there is none, it is refused at once with the time at which the next one is allowed. Retries, resumes, trials and keyed requests pass the same choice of an upstream. On the project's own interface all requests to an upstream pass its sidecar, which owns the limit; the header there is Baobab-Limit.

--- a/bhcap/ledger.go
+++ b/bhcap/ledger.go
@@ -13,7 +13,7 @@
 	// leastBurst is the number of requests that may be sent at once, and burstTime the time
 	// in which as many arrive at a higher limit.
 	leastBurst = 2
-	burstTime  = 250 * time.Millisecond
+	burstTime  = time.Second
 	// maxWait is the wait that is told where none is due, as with a limit of 0.
 	maxWait = 5 * time.Second
 	// maxUpstreams bounds the upstreams that a ledger remembers, forgetAfter the time for
@@ -46,10 +46,12 @@
 type limited struct {
 	named bool
 	rate  float64
-	// namedAt is when the last answer arrived that named a limit, heardAt the last one that
-	// counted, and usedAt when the upstream was asked for.
+	// namedAt is when the last answer arrived that named a limit. heardAt is when the last one
+	// that counted did, and sentAt when its request was sent. usedAt is when the upstream was
+	// asked for.
 	namedAt time.Time
 	heardAt time.Time
+	sentAt  time.Time
 	usedAt  time.Time
 	// owned holds the tokens that this process grants as the owner, share those of its
 	// share without the owner; each is nil before its first use.
@@ -84,7 +86,7 @@
 	case known == nil:
 		if l.makeRoom(naming.At) {
 			l.upstreams[upstream] = &limited{
-				named: true, rate: naming.Rate, namedAt: naming.At, heardAt: naming.At, usedAt: naming.At,
+				named: true, rate: naming.Rate, namedAt: naming.At, heardAt: naming.At, sentAt: naming.SentAt, usedAt: naming.At,
 			}
 		}
 	case naming.At.Before(known.heardAt):
@@ -92,12 +94,27 @@
 		if !known.named {
 			known.owned, known.share = nil, nil // a new limit begins without a burst
 		}
-		known.named, known.rate, known.namedAt, known.heardAt = true, naming.Rate, naming.At, naming.At
+		known.named, known.rate, known.namedAt, known.heardAt, known.sentAt = true, naming.Rate, naming.At, naming.At, naming.SentAt
 	case naming.SentAt.After(known.namedAt):
-		known.named, known.heardAt = false, naming.At
+		known.named, known.heardAt, known.sentAt = false, naming.At, naming.SentAt
 	}
 }
 
+// Newest returns the naming that counts; it is empty if nothing is known.
+func (l *Ledger) Newest(upstream Upstream) Naming {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	known := l.upstreams[upstream]
+	if known == nil {
+		return Naming{}
+	}
+	naming := Naming{Named: known.named, At: known.heardAt, SentAt: known.sentAt}
+	if known.named {
+		naming.Rate = known.rate
+	}
+	return naming
+}
+
 // makeRoom reports whether there is room for one more upstream. It drops those that
 // nobody asked for in forgetAfter if there is none.
 func (l *Ledger) makeRoom(now time.Time) bool {
--- a/bhcap/limit.go
+++ b/bhcap/limit.go
@@ -20,6 +20,10 @@
 // owns the limits of upstreams that have no runner: longer than others take to read the list.
 const SettleTime = 5 * time.Second
 
+// ProbeRate is the rate in requests a second at which an upstream with a lower limit is asked
+// all the same, where nothing but its answers tells that the limit has ended.
+const ProbeRate = 0.2
+
 // Parse returns the limit that the values of an answer's header name, in requests a
 // second. Of several values the lowest one binds. It returns false if there is none, and an
 // error if no value is a finite number from 0 on.
@@ -29,7 +33,8 @@
 	for _, value := range values {
 		for text := range strings.SplitSeq(value, ",") {
 			rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-			if err != nil || math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+			rate, ok := CheckRate(rate)
+			if err != nil || !ok {
 				failure = errors.Errorf("limit %q of an upstream is not a finite number of requests a second from 0 on", text)
 				continue
 			}
@@ -42,6 +47,14 @@
 	return 0, false, failure
 }
 
+// CheckRate returns the limit to apply, and false if the rate is none.
+func CheckRate(rate float64) (float64, bool) {
+	if math.IsNaN(rate) || math.IsInf(rate, 0) || rate < 0 {
+		return 0, false
+	}
+	return min(rate, maxRate), true
+}
+
 // Upstream names one start of an upstream. A limit ends with it.
 type Upstream struct {
 	ID string
--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/baobabhaven/baobabhaven/bhadmit"
+	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhclock"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
 	"github.com/baobabhaven/baobabhaven/bhforward"
@@ -27,6 +28,7 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
 	"github.com/baobabhaven/baobabhaven/bhorigin"
+	"github.com/baobabhaven/baobabhaven/bhpass"
 	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
@@ -258,6 +260,11 @@
 	origins.RegisterHandlers(socket)
 	h.crashes = h.newCrashes(socket, directory)
 	h.crashes.RegisterHandlers(socket, true)
+	limits := bhpass.New(bhpass.Config{
+		Ledger: bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate}),
+		Peers:  bhpass.PeerFleet{Directory: directory, Socket: socket}, Logger: h.logger, Scope: h.metrics.Scope,
+	})
+	limits.RegisterHandlers(socket)
 	board := bhgate.NewBalancer(settings.Centre, h.logger)
 	gate := bhgate.New(bhgate.Config{
 		Dialect:     platform.Dialect(),
@@ -268,6 +275,7 @@
 		Balancer:    board,
 		Origins:     origins,
 		Crashes:     h.crashes,
+		Limits:      limits,
 		Admission:   h.admission,
 		EngineLoads: &bhgate.PeerEngineLoads{Socket: socket, Logger: h.logger},
 		Pool:        h.pool,
@@ -341,6 +349,10 @@
 	})
 	h.crashes = h.newCrashes(socket, directory)
 	h.crashes.RegisterHandlers(socket, false)
+	limits := bhcap.NewLedger(bhcap.Config{}) // the engine's reports tell when a limit of 0 ends
+	bhpass.New(bhpass.Config{
+		Ledger: limits, Peers: bhpass.PeerFleet{Directory: directory, Socket: socket}, Runner: true, Logger: h.logger, Scope: h.metrics.Scope,
+	}).RegisterHandlers(socket)
 	runner := bhjob.NewRunner(bhjob.RunnerConfig{
 		Holder:     h.holder,
 		Jobs:       h.ledger(),
@@ -348,6 +360,7 @@
 		Engine:     &platform.Engine{Pool: h.pool},
 		Pool:       h.pool,
 		Crashes:    h.crashes,
+		Limits:     limits,
 		Dialect:    platform.Dialect(),
 		Clock:      h.clock,
 		Logger:     h.logger,
--- a/bhforward/dialect.go
+++ b/bhforward/dialect.go
@@ -18,6 +18,9 @@
 	NotRun string
 	// Leaving marks the answers of an upstream that finishes its requests and ends.
 	Leaving string
+	// Limit names, in an upstream's answers, the requests a second that it takes from all
+	// senders together.
+	Limit string
 	// LastEvent holds the ID of the event after which a stream resumes.
 	LastEvent string
 	// Resumes holds the request ID of the attempt that brought a client the first
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -27,32 +27,28 @@
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
 	balancer := c.gate.config.Balancer
 	instances := c.instances(service)
-	if c.gate.config.EngineLoads == nil || !c.view.Index.IsEngineService(service) {
-		instance, ok := balancer.Pick(instances, excluded, nil)
+	c.limitWait = 0
+	if !c.isEngine(service) {
+		instance, ok := c.pickWithinLimit(ctx, service, instances, excluded, nil)
 		if !ok {
-			return instance, c.noUpstream(service)
+			return instance, c.noneWithinLimit(service)
 		}
 		return instance, nil
 	}
 	c.choice = engineChoice{}
 	sample := balancer.Sample(instances, excluded, engineSampleSize)
 	loads := c.queryLoads(ctx, sample)
-	instance, ok := balancer.Pick(sample, excluded, loads)
-	if load := loads[instance.RunnerAddr]; !ok || full(load) || load.Suspect {
-		// All of these are full, suspect or leaving: some of the others may not be.
-		if ok {
-			balancer.Done(instance.ID)
-		}
-		others := maps.Clone(excluded)
-		for _, asked := range sample {
-			others[asked.ID] = true
-		}
-		more := balancer.Sample(instances, others, widenedSampleSize)
-		maps.Copy(loads, c.queryLoads(ctx, more))
-		instance, ok = balancer.Pick(append(sample, more...), excluded, loads)
+	candidates := sample
+	if !c.anyFree(sample, excluded, loads) {
+		candidates = c.widen(ctx, instances, sample, excluded, loads)
+	}
+	instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads)
+	if !ok && len(candidates) == len(sample) {
+		candidates = c.widen(ctx, instances, sample, excluded, loads)
+		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
 	if !ok {
-		return instance, c.noUpstream(service)
+		return instance, c.noneWithinLimit(service)
 	}
 	load := loads[instance.RunnerAddr]
 	c.choice.load = load
@@ -69,10 +65,34 @@
 	return instance, nil
 }
 
+// anyFree reports whether the best one of the sample takes a request at once: it isn't full,
+// suspect or leaving, and its limit, if it names one, allows the request.
+func (c *call) anyFree(sample []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) bool {
+	best, ok := c.gate.config.Balancer.Pick(withinLimits(sample, loads), excluded, loads)
+	if !ok {
+		return false
+	}
+	c.gate.config.Balancer.Done(best.ID)
+	load := loads[best.RunnerAddr]
+	return !full(load) && !load.Suspect
+}
+
+// widen asks more engines for their loads, which it adds, and returns them with the sample.
+func (c *call) widen(ctx context.Context, instances, sample []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) []bhwatch.Instance {
+	others := maps.Clone(excluded)
+	for _, asked := range sample {
+		others[asked.ID] = true
+	}
+	more := c.gate.config.Balancer.Sample(instances, others, widenedSampleSize)
+	maps.Copy(loads, c.queryLoads(ctx, more))
+	return append(sample[:len(sample):len(sample)], more...)
+}
+
 // queryLoads asks the runners beside the instances for the loads of their engines.
 func (c *call) queryLoads(ctx context.Context, instances []bhwatch.Instance) map[netip.AddrPort]bhwire.Room {
 	runners := runnerAddresses(instances)
 	loads := c.gate.config.EngineLoads.Query(ctx, runners)
+	c.observeLoads(instances, loads)
 	c.choice.asked += len(runners)
 	c.choice.answered += len(loads)
 	return loads
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -255,6 +255,9 @@
 	}
 	c.framing = answer.Framing
 	timer.reset()
+	if answer.Status != http.StatusMisdirectedRequest {
+		c.observeLimit(instance, answer, sentAt)
+	}
 	if c.gate.config.Dialect.IsLeaving(answer) {
 		c.gate.config.Policies.MarkLeaving(instance)
 	}
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhadmit"
+	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhclock"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
@@ -65,6 +66,9 @@
 	// Origins remembers the versions that began streams. If it is nil, this gateway
 	// remembers its own.
 	Origins Origins
+	// Limits tells whether a request may be sent to an upstream that names a limit. If it is
+	// nil, this gateway keeps to limits by itself.
+	Limits Limits
 	// Crashes remembers the requests that crash upstreams. If it is nil, this gateway
 	// remembers its own.
 	Crashes Crashes
@@ -101,6 +105,9 @@
 	if config.Origins == nil {
 		config.Origins = bhorigin.NewRegistry(bhorigin.Config{Clock: config.Clock, Logger: config.Logger, Scope: config.Scope})
 	}
+	if config.Limits == nil {
+		config.Limits = ownLimits{bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate})}
+	}
 	if config.Crashes == nil {
 		config.Crashes = bhevidence.New(bhevidence.Config{Refuses: config.Pool.Refuses, Logger: config.Logger, Scope: config.Scope})
 	}
--- a/bhgate/helpers_test.go
+++ b/bhgate/helpers_test.go
@@ -30,6 +30,7 @@
 		return strings.FieldsFunc(header.Get("Parts"), func(r rune) bool { return r == ',' })
 	},
 	Prompt: func(header http.Header) string { return header.Get("Parts") },
+	Limit:  "Limit",
 }
 
 // fakeUpstream is a server whose handler a test sets. It records its requests.
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -16,6 +16,8 @@
 	sends       tally.Counter
 	// notAdmitted counts requests refused because all engines asked were full.
 	notAdmitted tally.Counter
+	// limited counts requests refused because of the limits that upstreams name.
+	limited tally.Counter
 	// takenUp counts the streams that clients took up, originUnknown those of them
 	// that were refused because nothing tells which version began them.
 	takenUp       tally.Counter
@@ -34,6 +36,7 @@
 		clientsGone:   scope.Counter("gate_clients_left"),
 		sends:         scope.Counter("gate_sends"),
 		notAdmitted:   scope.Counter("gate_not_admitted"),
+		limited:       scope.Counter("gate_limited"),
 		takenUp:       scope.Counter("gate_streams_taken_up"),
 		originUnknown: scope.Counter("gate_origins_unknown"),
 		duration:      scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
--- /dev/null
+++ b/bhjob/engine_test.go
@@ -0,0 +1,142 @@
+package bhjob
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+)
+
+// fakeEngine is an upstream that streams events as a test configures it.
+type fakeEngine struct {
+	server *httptest.Server
+
+	mu sync.Mutex
+	// eventInterval is the time between events, eventCount their number.
+	eventInterval time.Duration
+	eventCount    int
+	// status is the HTTP status of answers. Answers other than 200 have no
+	// events.
+	status int
+	// abortAfter is the number of events after which the next stream is
+	// aborted; zero means never.
+	abortAfter int
+	// crashes is the number of requests under which the engine still dies, without an
+	// answer.
+	crashes int
+	// lethal is the ID of an item under which the engine ends, lethalPart a part of
+	// prompts, lethalPrompt a whole prompt: the engine closes its listener and all connections, and onEnd is called.
+	lethal       string
+	lethalPart   string
+	lethalPrompt string
+	onEnd        func()
+	// next answers the next request instead, if it isn't nil.
+	next func(w http.ResponseWriter, r *http.Request)
+	// live is the reported number of running live requests, waiting that of
+	// waiting requests.
+	live, waiting int
+	// limit is what answers and reports name as the limit; empty if they name none.
+	limit string
+	// leaving and reportsLeaving say whether answers and reports state that the
+	// engine is leaving.
+	leaving, reportsLeaving bool
+	running                 int
+	requests                []http.Header
+}
+
+func newFakeEngine(t *testing.T) *fakeEngine {
+	e := &fakeEngine{eventInterval: time.Millisecond, eventCount: 5, status: http.StatusOK}
+	e.server = httptest.NewServer(e)
+	t.Cleanup(e.server.Close)
+	return e
+}
+
+func (e *fakeEngine) set(change func(e *fakeEngine)) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	change(e)
+}
+
+// Report implements Engine.
+func (e *fakeEngine) Report(context.Context, string) (LoadReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	report := LoadReport{Running: e.running + e.live, Waiting: e.waiting, Leaving: e.reportsLeaving}
+	if e.limit != "" {
+		report.Limit = []string{e.limit}
+	}
+	return report, nil
+}
+
+// ServeHTTP implements http.Handler.
+func (e *fakeEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body) // the server detects a closed connection only after reading the body
+	e.mu.Lock()
+	e.requests = append(e.requests, r.Header.Clone())
+	interval, events, status, abortAfter := e.eventInterval, e.eventCount, e.status, e.abortAfter
+	if e.limit != "" {
+		w.Header().Set(dialect.Limit, e.limit)
+	}
+	if e.leaving {
+		w.Header().Set(dialect.Leaving, "1")
+	}
+	next, onEnd, ends := e.next, e.onEnd, e.isLethal(r)
+	e.abortAfter, e.next = 0, nil
+	crash := e.crashes > 0
+	e.crashes = max(0, e.crashes-1)
+	e.running++
+	e.mu.Unlock()
+	defer e.set(func(e *fakeEngine) { e.running-- })
+	if ends {
+		onEnd()
+		return
+	}
+	if crash {
+		panic(http.ErrAbortHandler)
+	}
+	if next != nil {
+		next(w, r)
+		return
+	}
+	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
+	if status != http.StatusOK {
+		w.WriteHeader(status)
+		return
+	}
+	resumeAfter, err := strconv.Atoi(r.Header.Get(dialect.LastEvent))
+	if err != nil {
+		resumeAfter = 0
+	}
+	for i := resumeAfter + 1; i <= events; i++ {
+		select {
+		case <-r.Context().Done():
+			return
+		case <-time.After(interval):
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s-%d\n\n", i, r.Header.Get(dialect.RequestID), i)
+		_ = http.NewResponseController(w).Flush()
+		if abortAfter > 0 && i == resumeAfter+abortAfter {
+			fmt.Fprint(w, "id: 99\ndata: part")
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// isLethal reports whether the engine ends under the request. The caller holds e.mu.
+func (e *fakeEngine) isLethal(r *http.Request) bool {
+	return e.lethal != "" && r.Header.Get(dialect.RequestID) == e.lethal ||
+		e.lethalPart != "" && slices.Contains(dialect.SharedParts(r.Header), e.lethalPart) ||
+		e.lethalPrompt != "" && r.Header.Get("Parts") == e.lethalPrompt
+}
+
+func (e *fakeEngine) requestHeaders() []http.Header {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return append([]http.Header(nil), e.requests...)
+}
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -108,6 +108,10 @@
 	if err != nil {
 		return err
 	}
+	if err := ir.runner.takeLimit(instance); err != nil {
+		permit.Return()
+		return err
+	}
 	bhlog.Event(ir.runner.config.Logger, "item.sent", "item", ir.item.ID, "job", ir.job.ID, "account", ir.job.Account, "upstream", instance.ID,
 		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "prompt", traits.Prompt, "parts", strings.Join(traits.Parts, ","))
 	sentAt := time.Now()
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -181,6 +181,7 @@
 // handleOutcome decides what follows a request that ended with err, or with nil
 // after the complete output.
 func (ir *itemRun) handleOutcome(ctx context.Context, err error) {
+	var limited *limitedError
 	switch {
 	case ir.onStopped != nil && err != nil:
 		ir.phase = paused
@@ -198,6 +199,8 @@
 		ir.countFailure()
 	case errors.Is(err, errRefused), errors.Is(err, errSuspectRuns):
 		ir.pauseFor(refusedRetryDelay)
+	case errors.As(err, &limited):
+		ir.pauseFor(limited.wait)
 	case errors.Is(err, errNotServed):
 		ir.releaseClaim(false)
 	case bhcode.Is(err, bhcode.Withheld):
@@ -317,11 +320,15 @@
 	defer cancel()
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
+	sentAt := time.Now()
 	answer, err := ir.runner.config.Pool.Exchange(ctx, instance.Address, ir.newRequest(instance.ID))
 	if err != nil {
 		return err
 	}
 	defer func() { _ = answer.Close() }()
+	if answer.Status != http.StatusMisdirectedRequest {
+		ir.runner.observeLimit(instance, answer.Header.Values(ir.runner.config.Dialect.Limit), sentAt)
+	}
 	ir.runner.metrics.sends.Inc(1)
 	if ir.runner.config.Dialect.IsLeaving(answer) {
 		ir.runner.config.Policies.MarkLeaving(instance)
--- /dev/null
+++ b/bhjob/limit.go
@@ -0,0 +1,50 @@
+package bhjob
+
+import (
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhcap"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
+)
+
+// limitedError means that the engine takes no further request yet by the limit that it
+// names.
+type limitedError struct{ wait time.Duration }
+
+// Error implements error.
+func (e *limitedError) Error() string {
+	return "the engine's limit allows no request for " + e.wait.String()
+}
+
+// upstreamOf returns the name of the instance's start.
+func upstreamOf(instance bhwatch.Instance) bhcap.Upstream {
+	return bhcap.Upstream{ID: instance.ID, Born: instance.Born}
+}
+
+// observeLimit adds what an answer of the engine with the values of the limit's header said.
+func (r *Runner) observeLimit(instance bhwatch.Instance, values []string, sentAt time.Time) {
+	limit, named, err := bhcap.Parse(values)
+	if err != nil {
+		bhlog.Problem(r.config.Logger, "limit.invalid", err, "upstream", instance.ID)
+		return // neither names a limit nor ends one
+	}
+	before := r.config.Limits.Newest(upstreamOf(instance))
+	r.config.Limits.Observe(upstreamOf(instance), bhcap.Naming{Named: named, Rate: limit, SentAt: sentAt, At: time.Now()})
+	if before.Named != named || before.Rate != limit {
+		bhlog.Event(r.config.Logger, "limit.named", "upstream", instance.ID, "named", named, "limit", limit)
+	}
+}
+
+// takeLimit takes the right to send one item to the engine. The error is a limitedError.
+func (r *Runner) takeLimit(instance bhwatch.Instance) error {
+	if decision := r.config.Limits.Take(upstreamOf(instance), time.Now()); !decision.Granted {
+		return &limitedError{wait: decision.Wait}
+	}
+	return nil
+}
+
+// limitAllows reports whether the engine takes a request now.
+func (r *Runner) limitAllows(instance bhwatch.Instance) bool {
+	return r.config.Limits.Look(upstreamOf(instance), time.Now()).Granted
+}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhclock"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
 	"github.com/baobabhaven/baobabhaven/bhforward"
@@ -52,6 +53,8 @@
 	Waiting int
 	// Leaving reports that the engine is leaving and must get no new requests.
 	Leaving bool
+	// Limit holds the values of the header in which the engine names a limit.
+	Limit []string
 }
 
 // Engine reads the load of the upstream on the runner's machine.
@@ -78,6 +81,8 @@
 	Policies PolicySource
 	Engine   Engine
 	Pool     *bhforward.Pool
+	// Limits holds the limits that the engine names. If it is nil, this runner has its own.
+	Limits *bhcap.Ledger
 	// Crashes remembers the items that crash engines. If it is nil, this runner
 	// remembers its own.
 	Crashes Crashes
@@ -136,6 +141,9 @@
 
 // NewRunner returns a runner that holds no claims.
 func NewRunner(config RunnerConfig) *Runner {
+	if config.Limits == nil {
+		config.Limits = bhcap.NewLedger(bhcap.Config{})
+	}
 	if config.Crashes == nil {
 		config.Crashes = bhevidence.New(bhevidence.Config{Refuses: config.Pool.Refuses, Logger: config.Logger, Scope: config.Scope})
 	}
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -37,7 +38,7 @@
 			return nil
 		case <-ticker.C:
 		}
-		requestedAt := r.config.Clock.Now()
+		requestedAt, sentAt := r.config.Clock.Now(), time.Now()
 		report, err := r.readReport(ctx)
 		if (err == nil) != reached && ctx.Err() == nil {
 			reached = err == nil
@@ -47,6 +48,9 @@
 				bhlog.Problem(r.config.Logger, "engine.lost", err, "address", r.config.Address())
 			}
 		}
+		if instance, listed := r.engineInstance(); err == nil && listed {
+			r.observeLimit(instance, report.Limit, sentAt)
+		}
 		r.applyReport(report, err == nil, requestedAt)
 	}
 }
@@ -87,7 +91,7 @@
 	case waiting > 0 && active > 0:
 		r.freeSlots = 0
 		r.pauseLeastUrgent(min(waiting, active))
-	case report.Waiting > 0 || time.Since(r.lastPauseAt) < startCooldown || !fresh || r.closed:
+	case report.Waiting > 0 || time.Since(r.lastPauseAt) < startCooldown || !fresh || r.closed || !r.limitAllows(instance):
 		r.freeSlots = 0
 	default:
 		r.freeSlots = max(0, instance.Slots-max(report.Running, active)-r.load.reserved())
@@ -132,11 +136,22 @@
 // capacity returns the engine's slots and how many of them live requests and
 // items use.
 func (r *Runner) capacity() bhwire.Room {
+	var limit bhcap.Decision
+	var heard time.Duration
+	if instance, listed := r.engineInstance(); listed {
+		limit = r.config.Limits.Look(upstreamOf(instance), time.Now())
+		if newest := r.config.Limits.Newest(upstreamOf(instance)); !newest.At.IsZero() {
+			heard = max(1, time.Since(newest.At))
+		}
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	active, _ := r.countActive()
 	now := r.config.Clock.Now()
-	return bhwire.Room{Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: r.load.live(), Items: active, Age: now - r.load.requestedAt}
+	return bhwire.Room{
+		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: r.load.live(), Items: active, Age: now - r.load.requestedAt,
+		Limited: limit.Named, Limit: limit.Rate, Heard: heard, Wait: limit.Wait,
+	}
 }
 
 // reserve records that a live request is on its way to the engine, and pauses
--- a/bhpeer/directory.go
+++ b/bhpeer/directory.go
@@ -32,6 +32,9 @@
 	// its host. After removeAfter the record is deleted.
 	staleAfter  = 25 * time.Second
 	removeAfter = 10 * time.Minute
+	// listValidity is the age of the list above which others may have dropped this gateway's
+	// record as stale.
+	listValidity = staleAfter - heartbeatInterval
 	// skipDuration is how long Order skips a peer that didn't answer.
 	skipDuration = time.Second
 )
@@ -55,6 +58,10 @@
 
 	mu    sync.Mutex
 	peers map[string]*peer
+	// firstReadAt and lastReadAt are when the records were first and last read; zero if
+	// they weren't.
+	firstReadAt time.Duration
+	lastReadAt  time.Duration
 }
 
 // peer is a gateway's record as of its last change. Times are those of the
@@ -145,6 +152,10 @@
 	now := d.config.Clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.firstReadAt == 0 {
+		d.firstReadAt = now
+	}
+	d.lastReadAt = now
 	listed := map[string]bool{d.config.Host: !d.config.Observer}
 	for _, record := range page.Records {
 		listed[record.Key.Name] = true
@@ -212,6 +223,25 @@
 	return addresses
 }
 
+// Count returns the number of listed gateways, also of those that Order skips.
+func (d *Directory) Count() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.peers)
+}
+
+// ListedFor returns how long ago the list was first read; zero if it wasn't, or if the last
+// read is so old that others may list other gateways.
+func (d *Directory) ListedFor() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Clock.Now()
+	if d.firstReadAt == 0 || now-d.lastReadAt > listValidity {
+		return 0
+	}
+	return now - d.firstReadAt
+}
+
 // Others returns the addresses of the other gateways, also of those that Order skips.
 func (d *Directory) Others() []netip.AddrPort {
 	d.mu.Lock()
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcache"
+	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
@@ -44,6 +45,8 @@
 	inflight     *bhcrash.Tracker[uint64]
 	lastRunID    *atomic.Uint64
 	batchLimiter *batchLimiter
+	// limits holds the limit that the upstream names.
+	limits *bhcap.Ledger
 	// lost is set from the time a batch item loses the engine until the engine
 	// responds.
 	lost atomic.Bool
@@ -70,6 +73,7 @@
 		inflight:     bhcrash.NewTracker[uint64](),
 		lastRunID:    new(atomic.Uint64),
 		batchLimiter: newBatchLimiter(max(config.Slots, 1), 0),
+		limits:       bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate}),
 		keepAlive: &http.Transport{
 			DialContext:         dialer.DialContext,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
@@ -89,7 +93,7 @@
 }
 
 // send sends the request and returns the response. The error is BadRequest if
-// the request is invalid, NoUpstream if no connection was made, and otherwise
+// the request is invalid, Overloaded if the upstream's limit doesn't allow it, NoUpstream if no connection was made, and otherwise
 // UpstreamFailed, for which it is unknown whether the request ran.
 func (u *upstream) send(ctx context.Context, submit bhwire.Submit) (*http.Response, error) {
 	var connected atomic.Bool
@@ -98,8 +102,13 @@
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.BadRequest, "request for the upstream")
 	}
+	if err := u.takeLimit(); err != nil {
+		return nil, err
+	}
+	sentAt := time.Now()
 	response, err := u.transportFor(submit).RoundTrip(request)
 	if err == nil {
+		u.observeLimit(response, sentAt)
 		return response, nil
 	}
 	if !connected.Load() {
@@ -264,7 +273,7 @@
 		updated.keepAlive, updated.oneShot = old.keepAlive, old.oneShot
 		updated.inflight, updated.lastRunID = old.inflight, old.lastRunID
 		updated.cacheLog, updated.stopFollower = old.cacheLog, old.stopFollower
-		updated.admission, updated.batchLimiter = old.admission, old.batchLimiter
+		updated.admission, updated.batchLimiter, updated.limits = old.admission, old.batchLimiter, old.limits
 		updated.batchLimiter.pacer.Resize(max(declared.Slots, 1))
 		updated.admission.apply(updated.admission.queue.Resize(max(declared.Slots, 1)))
 	}
--- a/bhsidecar/upstream_test.go
+++ b/bhsidecar/upstream_test.go
@@ -7,9 +7,11 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -46,3 +48,45 @@
 		}
 	}
 }
+
+// TestSidecarKeepsToTheLimitOfAnUpstream guards against live requests and items that together
+// exceed the limit that an upstream names, and against a limit that outlives its answers.
+func TestSidecarKeepsToTheLimitOfAnUpstream(t *testing.T) {
+	var calls atomic.Int64
+	var limit atomic.Value
+	limit.Store("2")
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		if value := limit.Load().(string); value != "" {
+			w.Header().Set(limitHeader, value)
+		}
+	}))
+	defer server.Close()
+	upstream := newUpstream(bhconf.Upstream{Address: strings.TrimPrefix(server.URL, "http://"), Slots: 1}, nil)
+	defer upstream.close()
+	began := time.Now()
+	send := func() error {
+		response, err := upstream.send(t.Context(), bhwire.Submit{Method: http.MethodPost, Path: "/", Idempotent: true})
+		if err != nil {
+			return err
+		}
+		return response.Body.Close()
+	}
+	refused := 0
+	for range 100 {
+		if err := send(); err != nil {
+			refused++
+			require.True(t, bhcode.Is(err, bhcode.Overloaded), "%v", err)
+			require.Positive(t, bhcode.From(err).RetryAfter)
+			require.Equal(t, bhcode.RanNo, bhcode.From(err).Ran)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	require.Positive(t, refused)
+	require.LessOrEqual(t, float64(calls.Load()), 2*time.Since(began).Seconds()*1.5+5)
+	limit.Store("")
+	require.Eventually(t, func() bool { return send() == nil }, 2*time.Second, 50*time.Millisecond)
+	for range 10 {
+		require.NoError(t, send(), "the limit has ended")
+	}
+}
--- a/bhwire/codec.go
+++ b/bhwire/codec.go
@@ -54,6 +54,9 @@
 	KindLosses,
 	KindTry,
 	KindTried,
+	KindPass,
+	KindPassed,
+	KindNamed,
 }
 
 var (
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -77,6 +77,51 @@
 	Losses []Loss `json:"losses"`
 }
 
+// Named says what an answer of an upstream said about its limit. As a frame of its
+// own it isn't answered.
+type Named struct {
+	// Time since the answer arrived when the frame was sent.
+	Age time.Duration `json:"age"`
+
+	// Start of the upstream, in milliseconds since the Unix epoch.
+	Born int64 `json:"born"`
+
+	// That limit, in requests a second.
+	Limit float64 `json:"limit"`
+
+	// Whether the answer named a limit.
+	Named bool `json:"named"`
+
+	// Time from the request to its answer.
+	Took time.Duration `json:"took"`
+
+	// ID of the upstream.
+	Upstream string `json:"upstream"`
+}
+
+// Pass asks the owner of an upstream's limit for the right to send one request
+// there, and says what the sender knows of the limit.
+type Pass struct {
+	// Limit corresponds to the JSON schema field "limit".
+	Limit Named `json:"limit"`
+}
+
+// Passed answers a pass.
+type Passed struct {
+	// Whether the asker may send the request, at once.
+	Granted bool `json:"granted"`
+
+	// Limit corresponds to the JSON schema field "limit".
+	Limit Named `json:"limit"`
+
+	// Whether the process owns the limit; if not, the other fields are empty. Its
+	// limit is what it knows of it.
+	Owned bool `json:"owned"`
+
+	// Time until the next request may be granted.
+	Wait time.Duration `json:"wait"`
+}
+
 // Room is what an engine has left for live requests, as the runner beside it sees
 // it. It answers an ask frame with the same stream number. A reserve frame
 // announces one live request, and a fault frame reports that one failed at the
@@ -87,12 +132,21 @@
 	// Time since the engine was asked for its load.
 	Age time.Duration `json:"age"`
 
+	// Time since the answer that said so; 0 if the runner has heard of no limit.
+	Heard time.Duration `json:"heard"`
+
 	// Batch items that run and leave for live requests.
 	Items int `json:"items"`
 
 	// Whether the engine is leaving and must get no new requests.
 	Leaving bool `json:"leaving"`
 
+	// That limit, in requests a second.
+	Limit float64 `json:"limit"`
+
+	// Whether the engine names a limit.
+	Limited bool `json:"limited"`
+
 	// Live requests that run, wait or were announced.
 	Live int `json:"live"`
 
@@ -102,6 +156,9 @@
 	// Whether gateways have reported faults of the engine lately, whatever load it
 	// reports.
 	Suspect bool `json:"suspect"`
+
+	// Time until the runner may grant the next request under the limit.
+	Wait time.Duration `json:"wait"`
 }
 
 // Tried answers a try.
