--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -44,8 +44,10 @@
 	// ways of sabotage.
 	sabotaged float64
 	// down says that the engine has crashed and isn't back. relist lists its new start.
-	down    bool
-	relist  func()
+	down   bool
+	relist func()
+	// limit is the requests a second that the engine says it takes; zero if it names none.
+	limit   float64
 	running int
 	waiting int
 }
@@ -71,6 +73,7 @@
 	}
 	start, leaving := e.start()
 	w.Header().Set(startHeader, start)
+	e.nameLimit(w, r, start)
 	if leaving {
 		w.Header().Set("Server-Leaving", "1")
 	}
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -59,6 +59,10 @@
 	// prompts counts the sound requests beside the lethal part.
 	prompts   struct{ sent, served int }
 	disturbed map[string][]span
+	// limits is what reached engines that named a limit, interrupted what struck senders
+	// and engines meanwhile.
+	limits      map[string]*limitRecord
+	interrupted map[string][]span
 	// streams counts what became of streams that may be resumed.
 	streams counts
 }
@@ -68,6 +72,7 @@
 		attempts: make(map[string]*attempt), runs: make(map[string][]run),
 		revoked: make(map[string]time.Time), ended: make(map[string]time.Time), left: make(map[[2]string]time.Time),
 		crashes: make(map[string]*lethalRecord), disturbed: make(map[string][]span),
+		limits: make(map[string]*limitRecord), interrupted: make(map[string][]span),
 	}
 }
 
@@ -191,6 +196,7 @@
 		}
 	}
 	r.faults = append(r.faults, r.checkCrashes()...)
+	r.faults = append(r.faults, r.checkLimits()...)
 	for tenant, rate := range rates {
 		most, bound := r.busiest(tenant), (rate*quotaWindow.Seconds()+rate)*(1+quotaOver)+quotaSlack
 		if float64(most) > bound {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -117,6 +118,8 @@
 	engines   []*engine
 	processes []*process
 	fronts    []string
+	// limiting is set while an engine names a limit.
+	limiting atomic.Bool
 
 	mu       sync.Mutex
 	version  int
@@ -256,7 +259,7 @@
 	mode := proxyMode(1 + random.IntN(int(proxyModes)-1))
 	last := time.Duration(500+random.IntN(4000)) * time.Millisecond
 	trouble := []bhstand.Fault{bhstand.Refuse, bhstand.Lose, bhstand.Delay}[random.IntN(3)]
-	switch random.IntN(13) {
+	switch random.IntN(16) {
 	case 0:
 		return func(ctx context.Context) {
 			defer w.disturb(p)()
@@ -266,6 +269,7 @@
 		}
 	case 1:
 		return func(ctx context.Context) {
+			defer w.record.interrupt(w.engines[e].id)()
 			w.engines[e].proxy.set(mode)
 			pause(ctx, last)
 			w.engines[e].proxy.set(pass)
@@ -273,6 +277,7 @@
 	case 2:
 		return func(ctx context.Context) {
 			defer w.disturb(p)()
+			defer w.record.interrupt(p.sender())()
 			p.signal(syscall.SIGSTOP)
 			pause(ctx, last)
 			p.signal(syscall.SIGCONT)
@@ -301,10 +306,16 @@
 			w.engines[e].restart()
 			w.list(e, "ready")
 		}
-	case 10, 11:
+	case 10, 11, 12:
+		return w.limit(w.engines[e], random, 2*limitLead+2*last)
+	case 13, 14:
 		return func(ctx context.Context) { w.engines[e].sabotage(0.5); pause(ctx, last); w.engines[e].sabotage(0) }
 	default:
-		return func(context.Context) { p.signal(syscall.SIGHUP); w.engines[e].proxy.reset() }
+		return func(context.Context) {
+			defer w.record.interrupt(w.engines[e].id)()
+			p.signal(syscall.SIGHUP)
+			w.engines[e].proxy.reset()
+		}
 	}
 }
 
@@ -330,6 +341,7 @@
 		w.drained[p.name] = false
 	}()
 	defer w.disturb(p)()
+	defer w.record.interrupt(p.sender())()
 	p.signal(syscall.SIGCONT)
 	if !graceful {
 		p.kill()
@@ -346,6 +358,7 @@
 	for i, e := range w.engines {
 		e.proxy.set(pass)
 		e.sabotage(0)
+		e.setLimit(0)
 		e.restart()
 		w.list(i, "ready")
 	}
