--- a/bhcap/model_test.go
+++ b/bhcap/model_test.go
@@ -272,6 +272,12 @@
 			}
 		}
 	}
+	return f.mostInWindow(), f.used()
+}
+
+// mostInWindow returns the most grants in a window as a share of what the users allow.
+func (f *modelFleet) mostInWindow() float64 {
+	over := 0.0
 	for i, from := range f.grants {
 		count := 0
 		for _, grant := range f.grants[i:] {
@@ -279,14 +285,20 @@
 				count++
 			}
 		}
-		over = max(over, float64(count)/(overShare*limit*overWindow.Seconds()+overSlack))
+		over = max(over, float64(count)/(overShare*f.limit*overWindow.Seconds()+overSlack))
 	}
+	return over
+}
+
+// used returns the share of the limit that was used.
+func (f *modelFleet) used() float64 {
+	used := 0.0
 	for _, grant := range f.grants {
 		if grant >= modelLead {
-			used += 1 / (limit * (modelLength - modelLead).Seconds())
+			used += 1 / (f.limit * (modelLength - modelLead).Seconds())
 		}
 	}
-	return over, used
+	return used
 }
 
 // TestBothErrorsOfLimits plays a fleet of seven gateways and eighteen runners that together
--- a/bhjob/limit.go
+++ b/bhjob/limit.go
@@ -44,7 +44,8 @@
 	return nil
 }
 
-// limitAllows reports whether the engine takes a request now.
-func (r *Runner) limitAllows(instance bhwatch.Instance) bool {
-	return r.config.Limits.Look(upstreamOf(instance), time.Now()).Granted
+// mayStart reports whether items may be started at the engine: what this runner knows of
+// policy and jobs is fresh, and the engine's limit allows a request.
+func (r *Runner) mayStart(instance bhwatch.Instance) bool {
+	return r.fresh() && r.config.Limits.Look(upstreamOf(instance), time.Now()).Granted
 }
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -65,7 +65,7 @@
 // requested at requestedAt. If ok is false, the report could not be read.
 func (r *Runner) applyReport(report LoadReport, ok bool, requestedAt time.Duration) {
 	instance, listed := r.reportedInstance(report, ok)
-	fresh := r.fresh()
+	mayStart := r.mayStart(instance)
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.slots, r.leaving = 0, listed && instance.Draining
@@ -91,7 +91,7 @@
 	case waiting > 0 && active > 0:
 		r.freeSlots = 0
 		r.pauseLeastUrgent(min(waiting, active))
-	case report.Waiting > 0 || time.Since(r.lastPauseAt) < startCooldown || !fresh || r.closed || !r.limitAllows(instance):
+	case report.Waiting > 0 || time.Since(r.lastPauseAt) < startCooldown || !mayStart || r.closed:
 		r.freeSlots = 0
 	default:
 		r.freeSlots = max(0, instance.Slots-max(report.Running, active)-r.load.reserved())
