A runner has one bucket for its engine, whatever start of it the senders list

The runner takes its items' tokens under the start that it lists, and grants gateways those of the start that they ask for. While lists differ, as after an engine's restart with the runner cut off from the store, each start has its own bucket.

The runner keeps its engine's limit under one name.

--- a/bhcap/limit.go
+++ b/bhcap/limit.go
@@ -62,6 +62,11 @@
 	Born int64
 }
 
+// RunnersEngine stands for the engine beside a runner, whatever start of it the senders list:
+// they don't read the list at the same time, and a limit for each start would add up. The
+// engine's reports tell soon if a later start names another limit.
+var RunnersEngine = Upstream{}
+
 // Naming is what one answer of an upstream says about its limit.
 type Naming struct {
 	// Named is false if the answer names no limit.
--- a/bhjob/limit.go
+++ b/bhjob/limit.go
@@ -17,11 +17,6 @@
 	return "the engine's limit allows no request for " + e.wait.String()
 }
 
-// upstreamOf returns the name of the instance's start.
-func upstreamOf(instance bhwatch.Instance) bhcap.Upstream {
-	return bhcap.Upstream{ID: instance.ID, Born: instance.Born}
-}
-
 // observeLimit adds what an answer of the engine with the values of the limit's header said.
 func (r *Runner) observeLimit(instance bhwatch.Instance, values []string, sentAt time.Time) {
 	limit, named, err := bhcap.Parse(values)
@@ -29,16 +24,16 @@
 		bhlog.Problem(r.config.Logger, "limit.invalid", err, "upstream", instance.ID)
 		return // neither names a limit nor ends one
 	}
-	before := r.config.Limits.Newest(upstreamOf(instance))
-	r.config.Limits.Observe(upstreamOf(instance), bhcap.Naming{Named: named, Rate: limit, SentAt: sentAt, At: time.Now()})
+	before := r.config.Limits.Newest(bhcap.RunnersEngine)
+	r.config.Limits.Observe(bhcap.RunnersEngine, bhcap.Naming{Named: named, Rate: limit, SentAt: sentAt, At: time.Now()})
 	if before.Named != named || before.Rate != limit {
 		bhlog.Event(r.config.Logger, "limit.named", "upstream", instance.ID, "named", named, "limit", limit)
 	}
 }
 
 // takeLimit takes the right to send one item to the engine. The error is a limitedError.
-func (r *Runner) takeLimit(instance bhwatch.Instance) error {
-	if decision := r.config.Limits.Take(upstreamOf(instance), time.Now()); !decision.Granted {
+func (r *Runner) takeLimit() error {
+	if decision := r.config.Limits.Take(bhcap.RunnersEngine, time.Now()); !decision.Granted {
 		return &limitedError{wait: decision.Wait}
 	}
 	return nil
@@ -46,6 +41,6 @@
 
 // mayStart reports whether items may be started at the engine: what this runner knows of
 // policy and jobs is fresh, and the engine's limit allows a request.
-func (r *Runner) mayStart(instance bhwatch.Instance) bool {
-	return r.fresh() && r.config.Limits.Look(upstreamOf(instance), time.Now()).Granted
+func (r *Runner) mayStart() bool {
+	return r.fresh() && r.config.Limits.Look(bhcap.RunnersEngine, time.Now()).Granted
 }
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -65,7 +65,7 @@
 // requested at requestedAt. If ok is false, the report could not be read.
 func (r *Runner) applyReport(report LoadReport, ok bool, requestedAt time.Duration) {
 	instance, listed := r.reportedInstance(report, ok)
-	mayStart := r.mayStart(instance)
+	mayStart := r.mayStart()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.slots, r.leaving = 0, listed && instance.Draining
@@ -136,13 +136,10 @@
 // capacity returns the engine's slots and how many of them live requests and
 // items use.
 func (r *Runner) capacity() bhwire.Room {
-	var limit bhcap.Decision
+	limit := r.config.Limits.Look(bhcap.RunnersEngine, time.Now())
 	var heard time.Duration
-	if instance, listed := r.engineInstance(); listed {
-		limit = r.config.Limits.Look(upstreamOf(instance), time.Now())
-		if newest := r.config.Limits.Newest(upstreamOf(instance)); !newest.At.IsZero() {
-			heard = max(1, time.Since(newest.At))
-		}
+	if newest := r.config.Limits.Newest(bhcap.RunnersEngine); !newest.At.IsZero() {
+		heard = max(1, time.Since(newest.At))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/bhpass/fleet_test.go
+++ b/bhpass/fleet_test.go
@@ -286,3 +286,25 @@
 		assert.False(t, p.config.Ledger.Look(upstreamOf(engine), time.Now()).Named)
 	})
 }
+
+// TestOwnerThatKnowsAnotherStartKeepsToOneLimit guards against an engine that gets its limit
+// twice, from its runner's items and from gateways, while they list different starts of it.
+func TestOwnerThatKnowsAnotherStartKeepsToOneLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t)
+		f.send(true, limit, time.Second)
+		ledger := f.processes[gateways].config.Ledger
+		known, items := time.Now(), 0
+		for range 20 {
+			f.send(true, limit, time.Second)
+			ledger.Observe(bhcap.RunnersEngine, bhcap.Naming{Named: true, Rate: limit, SentAt: time.Now(), At: time.Now()})
+			for ledger.Take(bhcap.RunnersEngine, time.Now()).Granted {
+				items++
+				f.sent = append(f.sent, time.Now())
+			}
+		}
+		assert.Positive(t, items)
+		assert.LessOrEqual(t, float64(f.most(known)), allowed)
+		assert.LessOrEqual(t, float64(len(f.sent)), 1.5*limit*21+5)
+	})
+}
--- a/bhpass/registry.go
+++ b/bhpass/registry.go
@@ -189,21 +189,23 @@
 		bhlog.Trace(r.config.Logger, "limit.invalid", "bytes", len(frame.Body), "err", err)
 		return "", nil
 	}
-	upstream := bhcap.Upstream{ID: pass.Limit.Upstream, Born: pass.Limit.Born}
-	if !r.owns(upstream) {
+	if !r.owns(pass.Limit.Upstream) {
 		return bhwire.KindPassed, bhwire.Passed{}
 	}
+	upstream := r.named(pass.Limit)
 	decision := r.config.Ledger.Take(upstream, time.Now())
-	return bhwire.KindPassed, bhwire.Passed{Owned: true, Granted: decision.Granted, Limit: r.naming(upstream, time.Now()), Wait: decision.Wait}
+	limit := r.naming(upstream, time.Now())
+	limit.Upstream, limit.Born = pass.Limit.Upstream, pass.Limit.Born
+	return bhwire.KindPassed, bhwire.Passed{Owned: true, Granted: decision.Granted, Limit: limit, Wait: decision.Wait}
 }
 
 // owns reports whether this process grants requests to the upstream: two that both believe
 // to own it would grant twice its limit.
-func (r *Registry) owns(upstream bhcap.Upstream) bool {
+func (r *Registry) owns(upstream string) bool {
 	if r.config.Runner {
 		return true
 	}
-	order := r.config.Peers.Order(upstream.ID)
+	order := r.config.Peers.Order(upstream)
 	return len(order) > 0 && !order[0].IsValid() && r.settled()
 }
 
@@ -222,10 +224,18 @@
 		return false
 	}
 	at := time.Now().Add(-named.Age)
-	r.config.Ledger.Observe(bhcap.Upstream{ID: named.Upstream, Born: named.Born}, bhcap.Naming{Named: named.Named, Rate: rate, SentAt: at.Add(-named.Took), At: at})
+	r.config.Ledger.Observe(r.named(named), bhcap.Naming{Named: named.Named, Rate: rate, SentAt: at.Add(-named.Took), At: at})
 	return true
 }
 
+// named returns the upstream of a message in this process's ledger.
+func (r *Registry) named(message bhwire.Named) bhcap.Upstream {
+	if r.config.Runner {
+		return bhcap.RunnersEngine
+	}
+	return bhcap.Upstream{ID: message.Upstream, Born: message.Born}
+}
+
 // upstreamOf returns the name of the instance's start.
 func upstreamOf(instance bhwatch.Instance) bhcap.Upstream {
 	return bhcap.Upstream{ID: instance.ID, Born: instance.Born}
