A grant of a trial whose answer is lost denies no other trial

What callers saw: with half of the datagrams lost, sound requests that share a part with a crashing one were refused for more than four seconds although their trial was due.

Cause: a gateway that grants a trial keeps the lease for 5 s. If its answer was lost, the asker goes on to the next gateway, and gives back only the grant that it knows of when the trial is denied there or by the store's record. Leases that nobody holds then deny the trials of all others.

Ruled out: evidence that condemns the shared part (all processes have Decide return a suspect whose trial is due).

Now a trial has a number, and a permit names all gateways that were asked. They are told when it is given back, now and in the next rounds of gossip, and end the lease if it is that trial's.

--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -8,7 +8,6 @@
 import (
 	"context"
 	"encoding/hex"
-	"maps"
 	"net/netip"
 	"strings"
 	"sync"
@@ -27,19 +26,9 @@
 	// probeAgainAfter is the time between the two looks at an upstream whose
 	// connection broke: a process that ends may close its listener last.
 	probeAgainAfter = 50 * time.Millisecond
-	// tryWait bounds the wait for a gateway's answer about a trial, a few round trips
-	// between data centres of a region. maxAsked gateways are asked in turn.
-	tryWait  = 15 * time.Millisecond
-	maxAsked = 3
 	// restartMargin is how much later than the end of an upstream a request must have
 	// been sent to have run at its next start. Reports of the end differ by less.
 	restartMargin = 50 * time.Millisecond
-	// leaseTime is how long a trial may run before the next one is granted.
-	leaseTime = 5 * time.Second
-	// maxLeases bounds the trials that one gateway grants at a time.
-	maxLeases = 1 << 10
-	// busyRetryAfter is sent while another request runs the trial.
-	busyRetryAfter = 250 * time.Millisecond
 )
 
 // Peers gives access to the other gateways and to the runners.
@@ -82,15 +71,14 @@
 	mu sync.Mutex
 	// fresh is this process's own evidence that is sent again to all peers.
 	fresh []entry
+	// returned holds the permits that were given back lately, which is told again.
+	returned []returnedPermit
 	// leases holds the trials that this process granted, by digest.
 	leases map[string]lease
 	// saved holds the times of the records that the store is known to hold, by name.
 	saved map[string]time.Time
 }
 
-// lease is the time for which a trial is granted.
-type lease struct{ from, to time.Time }
-
 // metrics are a registry's counters.
 type metrics struct {
 	losses  tally.Counter
@@ -138,41 +126,6 @@
 	}
 }
 
-// Permit is the right to run the trial of suspects. A nil Permit is that of a request
-// that needs none.
-type Permit struct {
-	registry *Registry
-	decision bhcrash.Decision
-	holder   netip.AddrPort
-}
-
-// testOf returns how the run tests the digest.
-func (p *Permit) testOf(digest string) bhcrash.Test {
-	if p == nil {
-		return bhcrash.NotTested
-	}
-	return p.decision.TestOf(digest)
-}
-
-// Return gives the right back without a run, so that another request may run the
-// trial at once.
-func (p *Permit) Return() {
-	if p == nil {
-		return
-	}
-	p.registry.leaveTrial(p.decision.Suspects[0])
-	p.release()
-}
-
-// release gives the lease back to the gateway that granted it.
-func (p *Permit) release() {
-	if !p.holder.IsValid() {
-		p.registry.returnLease(p.decision.Suspects[0])
-		return
-	}
-	p.registry.config.Peers.Tell(bhwire.KindTry, bhwire.Try{Digest: encodeDigest(p.decision.Suspects[0]), Returned: true}, p.holder)
-}
-
 // Admit decides whether a request with the traits may be sent. It returns a permit if
 // the request runs as a trial; the caller reports its outcome by Lost or Whole, or
 // returns the permit. The error is Withheld, with the time to come back.
@@ -191,7 +144,7 @@
 		return nil, bhcode.New(bhcode.Withheld, "upstreams ended under %s, of which no further trial may run yet", decision.Suspects[0]).WithRetryAfter(wait)
 	}
 	r.metrics.trials.Inc(1)
-	bhlog.Event(r.config.Logger, "crash.trial", "content", traits.Content, "suspects", strings.Join(decision.Suspects, ","), "granted_by", permit.holder)
+	bhlog.Event(r.config.Logger, "crash.trial", "content", traits.Content, "suspects", strings.Join(decision.Suspects, ","), "granted_by", permit.grantedBy())
 	return permit, nil
 }
 
@@ -214,98 +167,6 @@
 	return bhcode.New(bhcode.Withheld, "upstreams ended under the content %s or parts of its prompt", traits.Content).WithRetryAfter(decision.RetryAfter)
 }
 
-// beginTrial acquires the trial of the suspects. If another request runs it, it returns nil
-// and the time to wait.
-func (r *Registry) beginTrial(ctx context.Context, decision bhcrash.Decision) (*Permit, time.Duration) {
-	permit, wait := r.askForTrial(ctx, decision)
-	if permit == nil {
-		return nil, wait
-	}
-	if entered, wait := r.enterTrial(ctx, decision.Suspects[0]); !entered {
-		permit.release()
-		return nil, wait
-	}
-	return permit, 0
-}
-
-// askForTrial asks the gateway that comes first for the suspects for their trial. If that
-// is denied, it returns nil and the time until it may be granted.
-func (r *Registry) askForTrial(ctx context.Context, decision bhcrash.Decision) (*Permit, time.Duration) {
-	digest := decision.Suspects[0]
-	for _, peer := range r.granters(digest) {
-		if !peer.IsValid() {
-			break
-		}
-		frame, answered := r.config.Peers.Ask(ctx, tryWait, bhwire.KindTry, bhwire.Try{Digest: encodeDigest(digest)}, peer)[peer]
-		if !answered {
-			continue
-		}
-		tried, err := bhwire.Decode[bhwire.Tried](frame)
-		if err != nil {
-			bhlog.Trace(r.config.Logger, "crash.invalid", "peer", peer, "err", err)
-			continue
-		}
-		if !tried.Granted {
-			return nil, max(tried.Wait, busyRetryAfter)
-		}
-		return &Permit{registry: r, decision: decision, holder: peer}, 0
-	}
-	if granted, wait := r.grant(digest); !granted {
-		return nil, wait
-	}
-	return &Permit{registry: r, decision: decision}, 0
-}
-
-// granters returns the gateways to ask for a trial of the digest.
-func (r *Registry) granters(digest string) []netip.AddrPort {
-	if r.config.Peers == nil {
-		return nil
-	}
-	order := r.config.Peers.Order(digest)
-	return order[:min(maxAsked, len(order))]
-}
-
-// grant grants the trial of a digest unless it is granted already or, by what this
-// process knows, not due. If it isn't granted, it returns how long to wait.
-func (r *Registry) grant(digest string) (bool, time.Duration) {
-	if decision := r.ledger.DecideAlone(digest); decision.Status == bhcrash.Quarantined {
-		return false, decision.RetryAfter
-	}
-	now := time.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Before(r.leases[digest].to) {
-		return false, busyRetryAfter
-	}
-	if len(r.leases) >= maxLeases {
-		maps.DeleteFunc(r.leases, func(_ string, held lease) bool { return !now.Before(held.to) })
-		if len(r.leases) >= maxLeases {
-			return false, busyRetryAfter
-		}
-	}
-	r.leases[digest] = lease{from: now, to: now.Add(leaseTime)}
-	return true, 0
-}
-
-func (r *Registry) returnLease(digest string) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.leases, digest)
-}
-
-// endLease ends the lease of a trial whose outcome is known by the evidence. Evidence
-// from before the lease is that of an earlier trial, which is gossiped again and again.
-func (r *Registry) endLease(e entry) {
-	if !e.clears() && e.test == bhcrash.NotTested {
-		return
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if held, ok := r.leases[e.digest]; ok && e.at.After(held.from) {
-		delete(r.leases, e.digest)
-	}
-}
-
 // Loss is a connection to an upstream that broke while a request ran there.
 type Loss struct {
 	Traits bhcrash.Traits
--- a/bhevidence/share.go
+++ b/bhevidence/share.go
@@ -85,10 +85,10 @@
 	}
 	digest := hex.EncodeToString(try.Digest)
 	if try.Returned {
-		r.returnLease(digest)
+		r.returnLease(digest, try.Trial)
 		return "", nil
 	}
-	granted, wait := r.grant(digest)
+	granted, wait := r.grant(digest, try.Trial)
 	return bhwire.KindTried, bhwire.Tried{Granted: granted, Wait: wait}
 }
 
@@ -139,6 +139,9 @@
 		}
 		peers := r.config.Peers.All()
 		r.tell(r.freshEntries(), peers)
+		for _, permit := range r.returnedPermits() {
+			permit.tellReturned()
+		}
 		rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
 		known := r.knownEntries()
 		rand.Shuffle(len(known), func(i, j int) { known[i], known[j] = known[j], known[i] })
@@ -157,6 +160,20 @@
 	return append([]entry(nil), r.fresh...)
 }
 
+// returnedPermits returns the permits that were given back in the last repeatFor.
+func (r *Registry) returnedPermits() []*Permit {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for len(r.returned) > 0 && time.Since(r.returned[0].at) > repeatFor {
+		r.returned = r.returned[1:]
+	}
+	var permits []*Permit
+	for _, returned := range r.returned {
+		permits = append(permits, returned.permit)
+	}
+	return permits
+}
+
 // knownEntries returns the evidence that matters, whoever reported it.
 func (r *Registry) knownEntries() []entry {
 	now := time.Now()
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -178,4 +178,7 @@
 
 	// Whether the sender gives the right back without a run; this isn't answered.
 	Returned bool `json:"returned"`
+
+	// Number that the sender drew for this trial; 0 if it names none.
+	Trial uint64 `json:"trial"`
 }
