A write that conflicts keeps the draws that found no token

What callers saw: rarely, a request far below its account's rate was refused although the shared bucket had tokens.

Cause: a round of the first gateway counts the requests of other gateways that found no token, and gets tokens of the reserve for them. It forgets them when it proposes the lease. If the write conflicts with that of another gateway, the next attempt of the same round takes none.

Ruled out: lost datagrams (the draws of the traced requests were all answered).

A proposal that certainly failed now gives the count back with the tokens.

--- a/bhquota/proposal.go
+++ b/bhquota/proposal.go
@@ -21,6 +21,8 @@
 	// restored if the write certainly failed.
 	returned     float64
 	previousRate float64
+	// unmet is the number of unmet requests of other gateways that the lease counts.
+	unmet int
 }
 
 // proposeLease updates this gateway's lease in the shared bucket, or removes it
@@ -53,10 +55,11 @@
 	if release {
 		delete(b.Leases, s.config.Holder)
 	}
-	s.tokensShort = newLease.Tokens < float64(local.waiting+local.unmetPeerRequests)
+	unmet := local.unmetPeerRequests
+	s.tokensShort = newLease.Tokens < float64(local.waiting+unmet)
 	local.unmetPeerRequests, local.refused = 0, false
 	// Returned tokens may be used again only if the write certainly failed.
-	proposed := proposal{newLease: newLease, granted: max(0, newLease.Tokens-remaining), returned: max(0, local.tokens-newLease.Tokens), previousRate: local.rate}
+	proposed := proposal{newLease: newLease, granted: max(0, newLease.Tokens-remaining), returned: max(0, local.tokens-newLease.Tokens), previousRate: local.rate, unmet: unmet}
 	local.tokens -= proposed.returned
 	local.rate = min(local.rate, newLease.Rate)
 	return proposed
@@ -82,6 +85,7 @@
 	defer s.mu.Unlock()
 	s.local.tokens += s.pending.returned
 	s.local.rate = s.pending.previousRate
+	s.local.unmetPeerRequests += s.pending.unmet
 	s.pending = nil
 }
 
