Model of crashing prompts: their contents aren't prompts

TestBothErrorsOnFewUpstreams failed at times (4 or 5 late sends of one prompt, 3 allowed). Traced: the model called the contents of a lethal prompt by the prompt's name, which begins with the digits of the kind prompt. Decide took them for prompts, and named one trial by a content and another of the same prompt by the prompt, so that both ran at a time (at 8.375 and 12.6 s in the trace). Digests of contents have a kind of their own, so no program does this.

--- a/bhcrash/model_prompts_test.go
+++ b/bhcrash/model_prompts_test.go
@@ -33,7 +33,8 @@
 					if f.day.promptsSent == 0 {
 						content = n
 					}
-					traits := Traits{Content: fmt.Sprint(name, "-", content), Prompt: name, Parts: []string{part("account", content%accounts)}}
+					// A prompt is tried under one name: its contents must not look like prompts.
+					traits := Traits{Content: fmt.Sprint("00", name, "-", content), Prompt: name, Parts: []string{part("account", content%accounts)}}
 					f.requests.Go(func() { f.request(traits, name) })
 					time.Sleep(time.Duration(senders) * 125 * time.Millisecond)
 				}
