Model of crashing requests: count the upstreams that ended, not the requests that ended them

Traced: two requests with the lethal part ended one upstream at the same time (i-4 at 5.2 s), and the model counted two ends. It expected the part to be known after four upstreams had ended, where five are needed; two of the five late sends came before the fifth. The rule, and the comment of the field, count upstreams.

--- a/bhcrash/model_test.go
+++ b/bhcrash/model_test.go
@@ -140,15 +140,15 @@
 	upstreams []*modelUpstream
 	starts    int
 	trials    map[string]bool
-	// third is when the third upstream ended under a lethal content.
 	// known is when as many upstreams had ended under something lethal as the rules
 	// allow before it has to be known.
 	known map[string]time.Time
-	// ends counts the upstreams that something lethal ended, late its later sends.
-	ends, late map[string]int
-	lastEnd    time.Time
-	figures    modelFigures
-	requests   sync.WaitGroup
+	// ended holds the upstreams that something lethal ended, late counts its later sends.
+	ended    map[string]map[Source]bool
+	late     map[string]int
+	lastEnd  time.Time
+	figures  modelFigures
+	requests sync.WaitGroup
 }
 
 // modelFigures are what the two errors are measured by.
@@ -166,7 +166,7 @@
 
 func playModel(day modelDay, way way, seed uint64) modelFigures {
 	f := &modelFleet{day: day, way: way, ledger: NewLedger(), began: time.Now(), random: rand.New(rand.NewPCG(seed, 7)),
-		trials: make(map[string]bool), known: make(map[string]time.Time), ends: make(map[string]int), late: make(map[string]int)}
+		trials: make(map[string]bool), known: make(map[string]time.Time), ended: make(map[string]map[Source]bool), late: make(map[string]int)}
 	f.upstreams = make([]*modelUpstream, day.upstreams)
 	for i := range f.upstreams {
 		f.start(i)
@@ -203,8 +203,8 @@
 		time.Sleep(time.Duration(float64(time.Second) / day.perSecond))
 	}
 	f.requests.Wait()
-	for _, count := range f.ends {
-		f.figures.ends += count
+	for _, upstreams := range f.ended {
+		f.figures.ends += len(upstreams)
 	}
 	return f.figures
 }
@@ -378,12 +378,7 @@
 			return true
 		}
 		f.end(i, upstream)
-		f.count(func(*modelFigures) {
-			f.ends[lethal]++
-			if f.ends[lethal] == allowedEnds(lethal) {
-				f.known[lethal] = time.Now()
-			}
-		})
+		f.recordEnd(lethal, upstream.source)
 	}
 	for _, digest := range traits.All() {
 		f.ledger.RecordLoss(upstream.source, digest, decision.TestOf(digest))
@@ -391,6 +386,20 @@
 	return false
 }
 
+// recordEnd records that something lethal ended the upstream. Several requests may have done
+// so at the same time.
+func (f *modelFleet) recordEnd(lethal string, source Source) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ended[lethal] == nil {
+		f.ended[lethal] = make(map[Source]bool)
+	}
+	f.ended[lethal][source] = true
+	if _, known := f.known[lethal]; !known && len(f.ended[lethal]) == allowedEnds(lethal) {
+		f.known[lethal] = time.Now()
+	}
+}
+
 // allowedEnds returns how many upstreams may end under something lethal before it has to
 // be known.
 func allowedEnds(lethal string) int {
