Failing test: a crashing part in a few contents that come again is tried too often

Found while the model of TestBothErrorsOnFewUpstreams was looked through: its requests with a lethal part have a content each, so that no content is ever tried.

--- a/bhcrash/model_parts_test.go
+++ b/bhcrash/model_parts_test.go
@@ -25,3 +25,15 @@
 //
 //	BAOBAB_MEASURE=1 go test -v -run BothErrorsForParts ./bhcrash   all ways weighed
 func TestBothErrorsForPartsOfPrompts(t *testing.T) { measureErrors(t, partDays, 0.5) }
+
+// fewContentsDays are days on which the requests with a lethal part come again, each with
+// one of a few contents.
+var fewContentsDays = []modelDay{
+	{name: "part in two contents", upstreams: 18, perSecond: 60, runTime: time.Second, lethalParts: 1, partContents: 2, lethalFrom: 6 * time.Second, lethalTo: 85 * time.Second},
+	{name: "part in three contents", upstreams: 18, perSecond: 60, runTime: time.Second, lethalParts: 1, partContents: 3, lethalFrom: 6 * time.Second, lethalTo: 85 * time.Second},
+	{name: "part in eight contents", upstreams: 18, perSecond: 60, runTime: time.Second, lethalParts: 1, partContents: 8, lethalFrom: 6 * time.Second, lethalTo: 85 * time.Second},
+}
+
+// TestBothErrorsForPartsInFewContents is TestBothErrorsForParts for requests that come
+// again, so that contents are tried beside the part that they have in common.
+func TestBothErrorsForPartsInFewContents(t *testing.T) { measureErrors(t, fewContentsDays, 0.5) }
--- a/bhcrash/model_test.go
+++ b/bhcrash/model_test.go
@@ -80,12 +80,14 @@
 	lethal               int
 	lethalFrom, lethalTo time.Duration
 	// lethalParts is the number of parts of prompts that end upstreams. Requests with
-	// one come like those with a lethal content, no two alike. If it isn't zero, each
+	// one come like those with a lethal content, with as many contents as partContents, or
+	// no two alike if that is zero. If lethalParts isn't zero, each
 	// request has the prompt of one of eight accounts and one of ten subjects; a tenth
 	// of the sound requests have one of a hundred others. prompts gives them the same
 	// without a lethal part.
-	lethalParts int
-	prompts     bool
+	lethalParts  int
+	partContents int
+	prompts      bool
 	// lethalPrompts is the number of whole prompts that end upstreams. Each comes in
 	// requests of several accounts, no two of them alike. promptsSent is how many
 	// requests have each; zero means one after the other until lethalTo.
@@ -182,7 +184,11 @@
 				traits := Traits{Content: name}
 				if i >= day.lethal {
 					name = part("lethal", i)
-					traits = Traits{Content: fmt.Sprint(name, "-", n), Parts: []string{part("account", i%accounts), name}}
+					content := n
+					if day.partContents > 0 {
+						content = n % day.partContents
+					}
+					traits = Traits{Content: fmt.Sprint("00", name, "-", content), Parts: []string{part("account", i%accounts), name}}
 				}
 				f.requests.Go(func() { f.request(traits, name) })
 				time.Sleep(125 * time.Millisecond)
