Soak: a connection that fell silent has no end

Traced: the runner read the engine's answer, which had neither length nor chunks, from 32.193 to 32.342 s, and its reports of the same engine got no answer from then until 34.28 s. So the proxy before the engine fell silent; it dropped the last bytes, a part of the eighth event, and then passed on the engine's orderly close. No network does that: the end follows the bytes. An orderly end between two events of such an answer can't be told from a whole one.

The proxy now keeps a connection open that it silenced, as its comment says. TestSilentConnectionHasNoEnd fails before (EOF) and passes now.

--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -3,10 +3,12 @@
 import (
 	"io"
 	"net"
+	"os"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 )
 
@@ -134,18 +136,21 @@
 	back := make(chan struct{})
 	go func() {
 		defer close(back)
-		p.pipe(near, far, true)
-		near.Close()
+		if silenced := p.pipe(near, far, true); !silenced {
+			near.Close()
+		}
 	}()
 	p.pipe(far, near, false)
 	far.Close()
 	<-back
 }
 
-// pipe passes bytes on. A connection that fell silent stays so for good.
-func (p *proxy) pipe(to, from net.Conn, answers bool) {
+// pipe passes bytes on. A connection that fell silent stays so for good, which pipe
+// reports: its end must not be passed on either, or an answer without the bytes that were
+// dropped would look complete.
+func (p *proxy) pipe(to, from net.Conn, answers bool) (silenced bool) {
 	buffer := make([]byte, proxyBuffer)
-	silenced, passed := false, 0
+	passed := 0
 	for {
 		n, err := from.Read(buffer)
 		if err != nil {
@@ -154,7 +159,7 @@
 					_ = tcp.SetLinger(0)
 				}
 			}
-			return
+			return silenced
 		}
 		switch p.current() {
 		case delay:
@@ -164,17 +169,17 @@
 		case deaf:
 			silenced = silenced || answers
 		case refuse:
-			return
+			return false
 		}
 		if silenced {
 			continue
 		}
 		if _, err := to.Write(buffer[:n]); err != nil {
-			return
+			return false
 		}
 		if passed += n; answers && passed > maxBabble && p.flooded != nil {
 			p.flooded()
-			return
+			return false
 		}
 	}
 }
@@ -191,3 +196,34 @@
 	defer p.mu.Unlock()
 	delete(p.conns, conn)
 }
+
+// TestSilentConnectionHasNoEnd guards against a finding that isn't one: an answer whose last
+// bytes the proxy dropped, and whose orderly end it passed on.
+func TestSilentConnectionHasNoEnd(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	silenced := make(chan struct{})
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Write([]byte("part"))
+		<-silenced
+		_, _ = conn.Write([]byte("rest"))
+		conn.Close()
+	}()
+	p := newProxy(t, listener.Addr().String())
+	conn, err := net.Dial("tcp", p.address())
+	require.NoError(t, err)
+	defer conn.Close()
+	part := make([]byte, 4)
+	_, err = io.ReadFull(conn, part)
+	require.NoError(t, err)
+	p.set(deaf)
+	close(silenced)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(300*time.Millisecond)))
+	_, err = conn.Read(part)
+	assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
