--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -53,6 +53,14 @@
 	// burst: by a number of requests, and by a share (0.1 is 10%).
 	QuotaSlack float64
 	QuotaOver  float64
+	// ColdSlack and ColdOver are how far an upstream's requests in a second may exceed the
+	// rate that it takes while it is cold: by a number of requests, and as a multiple of
+	// the rate (1.5 is half more). Zero means that no bound is set.
+	ColdSlack float64
+	ColdOver  float64
+	// Evacuation is the time within which a data centre that is evacuated must get no
+	// new requests; zero means unknown.
+	Evacuation time.Duration
 	// ResultRetention is how long the results of a job stay readable.
 	ResultRetention time.Duration
 }
@@ -83,6 +91,8 @@
 		return errors.Errorf("the drain time %s is not positive", s.Drain)
 	case s.Propagation < 0 || s.UpstreamDrain < 0:
 		return errors.Errorf("a bound is negative: propagation %s, drain of upstreams %s", s.Propagation, s.UpstreamDrain)
+	case s.ColdSlack < 0 || s.ColdOver < 0 || s.Evacuation < 0:
+		return errors.Errorf("a bound is negative: cold upstreams %g times and %g more, evacuation %s", s.ColdOver, s.ColdSlack, s.Evacuation)
 	case s.Memory < 0 || s.Cores < 0:
 		return errors.Errorf("a resource is negative: memory %d, cores %d", s.Memory, s.Cores)
 	}
--- a/bhpolicy/policy.go
+++ b/bhpolicy/policy.go
@@ -61,6 +61,9 @@
 	// MaxQueuedTokens limits the tokens of an account's unfinished items on a
 	// batch route; zero means no limit.
 	MaxQueuedTokens int64
+	// Priority ranks the route's requests where not all of them can be served; 0 is
+	// the most urgent.
+	Priority int
 }
 
 // Repeatable reports whether a request may be sent again although it may already
@@ -88,6 +91,18 @@
 	Rate float64
 	// Burst is the number of requests that may arrive at once over all gateways.
 	Burst float64
+	// Priority replaces that of the routes for the account's requests; nil leaves it
+	// to the routes.
+	Priority *int
+}
+
+// PriorityOf returns the priority of the account's requests on the route; 0 is the most
+// urgent. The account is nil on public routes.
+func PriorityOf(route *Route, account *Account) int {
+	if account != nil && account.Priority != nil {
+		return *account.Priority
+	}
+	return route.Priority
 }
 
 // Service is a group of interchangeable upstreams.
@@ -96,6 +111,11 @@
 	// Slots is the number of requests that an engine of the service runs at
 	// once. It is zero for services whose upstreams aren't engines.
 	Slots int
+	// ColdTime is how long an upstream is cold after it started under traffic, and
+	// ColdRate the requests a second that it takes meanwhile. A zero ColdRate sets no
+	// bound.
+	ColdTime time.Duration
+	ColdRate float64
 }
 
 // Limits apply to all clients. Users of a Limits replace values that aren't
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -57,6 +57,8 @@
 	// Born is the start time of the process in milliseconds since the Unix epoch.
 	// It distinguishes a restarted process with the same ID.
 	Born int64
+	// Cold is how much longer the instance is cold after its start, as its record says.
+	Cold time.Duration
 	// RunnerAddr is the address at which the runner beside an engine reports the
 	// engine's load; the zero AddrPort if there is no runner.
 	RunnerAddr netip.AddrPort
@@ -82,6 +84,8 @@
 	Fleet map[string][]Instance
 	// Versions holds the software versions of the services' upstreams.
 	Versions Versions
+	// Evacuated holds the data centres whose upstreams must get no new requests.
+	Evacuated map[string]bool
 }
 
 // Serves reports whether the view lists this start of the instance as ready.
