Streams: infer the version of an unnamed stream only if the whole window was seen

Cause: a take-up without the name of its first attempt was sent to the only version that the gateway knew, also if the gateway had just started. With all gateways killed at once and the old version's engines just gone, the text was joined from two versions with status 200. A named one was refused there. Change: both need the lists of the whole window (two timeouts of the route).

--- a/bhgate/origin.go
+++ b/bhgate/origin.go
@@ -54,16 +54,17 @@
 }
 
 // onlyOrigin returns the origin that a stream must have if its service had upstreams
-// of one version only for longer than clients take to come back. If the client named
-// the attempt that began the stream, the records of it were lost, as in a restart of
-// the fleet; then the route must have one service, and that time be known in full.
+// of one version only for longer than clients take to come back. That time must be known
+// in full: a gateway that has just started may have missed the version that began the
+// stream. If the client named the attempt, the records of it were lost, and the route must
+// have one service.
 func (c *call) onlyOrigin(named bool) (bhorigin.Origin, bool) {
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
 	window, now := streamLifetimes*timeout, c.gate.config.Clock.Now()
-	if named && (len(c.route.Backends) != 1 || !c.view.Versions.Cover(now, window)) {
+	if !c.view.Versions.Cover(now, window) || named && len(c.route.Backends) != 1 {
 		return bhorigin.Origin{}, false
 	}
 	service := c.chooseService()
