Streams: runners keep copies of the origins too

Cause: the origin of a stream lay at three gateways. A fault that ends all gateways at once lost all of them, and every take-up of the next ten seconds was refused (503), with two versions in service also those whose version still ran. Change: a gateway tells two runners as well, which a hash of the stream chooses (rendezvous hashing, as among the gateways), and asks four of them together with the wider circle of gateways. Runners answer from a table of a minute. Measured: TestStreamsAreFoundAfterAllGatewaysRestarted (7 gateways restarted, 18 runners, one of them down, 5 in 100 datagrams lost): fewer than 25 of 500 missed; all 500 were before.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -255,7 +255,7 @@
 	})
 	limiter.RegisterHandler(socket)
 	origins := bhorigin.NewRegistry(bhorigin.Config{
-		Peers: bhorigin.PeerGateways{Directory: directory, Socket: socket}, Clock: h.clock, Logger: h.logger, Scope: h.metrics.Scope,
+		Peers: bhorigin.PeerFleet{Directory: directory, Socket: socket, View: h.watcher.View}, Clock: h.clock, Logger: h.logger, Scope: h.metrics.Scope,
 	})
 	origins.RegisterHandlers(socket)
 	h.crashes = h.newCrashes(socket, directory)
@@ -349,6 +349,7 @@
 	})
 	h.crashes = h.newCrashes(socket, directory)
 	h.crashes.RegisterHandlers(socket, false)
+	bhorigin.NewRegistry(bhorigin.Config{Clock: h.clock, Logger: h.logger, Scope: h.metrics.Scope}).RegisterHandlers(socket)
 	limits := bhcap.NewLedger(bhcap.Config{}) // the engine's reports tell when a limit of 0 ends
 	bhpass.New(bhpass.Config{
 		Ledger: limits, Peers: bhpass.PeerFleet{Directory: directory, Socket: socket}, Runner: true, Logger: h.logger, Scope: h.metrics.Scope,
--- a/bhorigin/registry.go
+++ b/bhorigin/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -10,12 +11,14 @@
 	"github.com/baobabhaven/baobabhaven/bhclock"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpeer"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 const (
 	// copies is the number of gateways, besides the one that relays a stream, that
-	// remember its origin.
+	// remember its origin, and the number of runners that do. Runners outlive a fault
+	// that ends all gateways at once.
 	copies = 2
 	// firstAsked is the number of gateways that are asked first for an origin: those
 	// with a copy, and one more since the order may have changed meanwhile. They
@@ -27,6 +30,9 @@
 	// widerWait. Then datagrams were lost, or gateways were replaced.
 	widerAsked = 12
 	widerWait  = 40 * time.Millisecond
+	// runnersAsked is the number of runners that are asked together with these: those
+	// with a copy, and two that come before them if engines were added meanwhile.
+	runnersAsked = copies + 2
 )
 
 // Peers gives access to the other gateways of the fleet.
@@ -35,6 +41,9 @@
 	// at all gateways that know the same ones. An invalid address stands for this
 	// gateway.
 	Order(key string) []netip.AddrPort
+	// Runners returns the runners in an order that depends on the key and is the same
+	// at all gateways that list the same engines.
+	Runners(key string) []netip.AddrPort
 	// Tell sends a frame to the peers, without a confirmation.
 	Tell(kind bhwire.Kind, message any, peers ...netip.AddrPort)
 	// Ask sends a frame to the peers and returns the answers that arrive within the
@@ -42,11 +51,33 @@
 	Ask(ctx context.Context, wait time.Duration, kind bhwire.Kind, message any, peers ...netip.AddrPort) map[netip.AddrPort]bhwire.Frame
 }
 
-// PeerGateways reaches the other gateways through a datagram socket. It implements
-// Peers.
-type PeerGateways struct {
+// PeerFleet reaches the other gateways and the runners through a datagram socket. It
+// implements Peers.
+type PeerFleet struct {
 	*bhpeer.Directory
 	*bhpeer.Socket
+	// View returns the upstreams, beside which the runners run.
+	View func() bhwatch.View
+}
+
+// Runners implements Peers.
+func (p PeerFleet) Runners(key string) []netip.AddrPort {
+	view := p.View()
+	if view.Index == nil {
+		return nil
+	}
+	var runners []netip.AddrPort
+	for service, instances := range view.Fleet {
+		if !view.Index.IsEngineService(service) {
+			continue
+		}
+		for _, instance := range instances {
+			if instance.RunnerAddr.IsValid() {
+				runners = append(runners, instance.RunnerAddr)
+			}
+		}
+	}
+	return bhpeer.Rank(key, runners)
 }
 
 // Config configures a Registry.
@@ -58,8 +89,8 @@
 	Scope  tally.Scope
 }
 
-// Registry records the origins of streams at several gateways. It is safe for
-// concurrent use.
+// Registry records the origins of streams at several gateways and runners. It is safe
+// for concurrent use.
 type Registry struct {
 	config Config
 	table  *Table
@@ -77,8 +108,8 @@
 	}
 }
 
-// RegisterHandlers registers the handlers by which other gateways record and find
-// streams here. It must be called before the socket runs.
+// RegisterHandlers registers the handlers by which gateways record and find streams
+// here. It must be called before the socket runs.
 func (r *Registry) RegisterHandlers(socket *bhpeer.Socket) {
 	socket.Handle(bhwire.KindBegan, r.handleBegan)
 	socket.Handle(bhwire.KindFind, r.handleFind)
@@ -104,18 +135,20 @@
 	return bhwire.KindFound, bhwire.Found{Known: ok, Service: origin.Service, Version: origin.Version}
 }
 
-// Record remembers the origin of a stream, here and at other gateways. It doesn't
-// wait for them.
+// Record remembers the origin of a stream, here, at other gateways and at runners. It
+// doesn't wait for them.
 func (r *Registry) Record(key Key, origin Origin) {
 	r.table.Put(key, origin)
-	others := r.others(key)
-	if len(others) > 0 {
-		began := bhwire.Began{Stream: key[:], Service: origin.Service, Version: origin.Version}
-		r.config.Peers.Tell(bhwire.KindBegan, began, others[:min(copies, len(others))]...)
+	if r.config.Peers == nil {
+		return
+	}
+	holders := append(firstOf(copies, r.others(key)), firstOf(copies, r.runners(key))...)
+	if len(holders) > 0 {
+		r.config.Peers.Tell(bhwire.KindBegan, bhwire.Began{Stream: key[:], Service: origin.Service, Version: origin.Version}, holders...)
 	}
 }
 
-// Find returns the origin of a stream. It reports false if no gateway that it
+// Find returns the origin of a stream. It reports false if no gateway or runner that it
 // reaches knows the stream.
 func (r *Registry) Find(ctx context.Context, key Key) (Origin, bool) {
 	if origin, ok := r.table.Get(key); ok {
@@ -123,11 +156,11 @@
 	}
 	r.asked.Inc(1)
 	others := r.others(key)
-	first := min(firstAsked, len(others))
-	origin, ok := r.ask(ctx, key, firstWait, others[:first])
+	origin, ok := r.ask(ctx, key, firstWait, firstOf(firstAsked, others))
 	if !ok {
 		// The first ones are asked again, since single datagrams get lost.
-		origin, ok = r.ask(ctx, key, widerWait, others[:min(widerAsked, len(others))])
+		wider := append(firstOf(widerAsked, others), firstOf(runnersAsked, r.runners(key))...)
+		origin, ok = r.ask(ctx, key, widerWait, wider)
 	}
 	if !ok {
 		r.missed.Inc(1)
@@ -155,6 +188,19 @@
 	return Origin{}, false
 }
 
+// firstOf returns a copy of the first count addresses.
+func firstOf(count int, addresses []netip.AddrPort) []netip.AddrPort {
+	return slices.Clone(addresses[:min(count, len(addresses))])
+}
+
+// runners returns the runners in the order for the key.
+func (r *Registry) runners(key Key) []netip.AddrPort {
+	if r.config.Peers == nil {
+		return nil
+	}
+	return r.config.Peers.Runners(string(key[:]))
+}
+
 // others returns the other gateways in the order for the key.
 func (r *Registry) others(key Key) []netip.AddrPort {
 	if r.config.Peers == nil {
--- a/bhorigin/registry_test.go
+++ b/bhorigin/registry_test.go
@@ -1,7 +1,6 @@
 package bhorigin
 
 import (
-	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -11,40 +10,42 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhclock"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhpeer"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-// network connects the registries of a fleet in memory. It loses datagrams at
-// random, and those to and from gateways that are down.
+// network connects the registries of a fleet in memory: those of the gateways, then
+// those of the runners. It loses datagrams at random, and those to and from processes
+// that are down.
 type network struct {
 	random     *rand.Rand
 	loss       float64
+	gateways   int
 	registries []*Registry
 	down       map[int]bool
 }
 
-func newNetwork(size int, loss float64) *network {
-	n := &network{random: rand.New(rand.NewPCG(1, 2)), loss: loss, registries: make([]*Registry, size), down: make(map[int]bool)}
-	for i := range size {
+func newNetwork(gateways, runners int, loss float64) *network {
+	n := &network{random: rand.New(rand.NewPCG(1, 2)), loss: loss, gateways: gateways, registries: make([]*Registry, gateways+runners), down: make(map[int]bool)}
+	for i := range n.registries {
 		n.restart(i)
 	}
 	return n
 }
 
-// restart starts a gateway, with nothing in its memory.
+// restart starts a process, with nothing in its memory.
 func (n *network) restart(number int) {
 	n.registries[number] = NewRegistry(Config{Peers: node{network: n, number: number}, Clock: bhclock.NewRuntime(), Logger: bhlog.Nop(), Scope: tally.NoopScope})
 	n.down[number] = false
 }
 
-func gatewayAddress(number int) netip.AddrPort {
+func addressOf(number int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(number)}), 7)
 }
 
@@ -56,16 +57,24 @@
 
 // Order implements Peers.
 func (n node) Order(key string) []netip.AddrPort {
-	rank := func(address netip.AddrPort) uint64 { return xxhash.Sum64String(key + address.String()) }
 	var order []netip.AddrPort
-	for i := range n.network.registries {
-		order = append(order, gatewayAddress(i))
+	for i := range n.network.gateways {
+		order = append(order, addressOf(i))
 	}
-	slices.SortFunc(order, func(a, b netip.AddrPort) int { return cmp.Compare(rank(a), rank(b)) })
-	order[slices.Index(order, gatewayAddress(n.number))] = netip.AddrPort{}
+	order = bhpeer.Rank(key, order)
+	order[slices.Index(order, addressOf(n.number))] = netip.AddrPort{}
 	return order
 }
 
+// Runners implements Peers.
+func (n node) Runners(key string) []netip.AddrPort {
+	var runners []netip.AddrPort
+	for i := n.network.gateways; i < len(n.network.registries); i++ {
+		runners = append(runners, addressOf(i))
+	}
+	return bhpeer.Rank(key, runners)
+}
+
 // deliver returns the registry at the address unless the datagram is lost.
 func (n node) deliver(to netip.AddrPort) *Registry {
 	number := int(to.Addr().As4()[3])
@@ -109,7 +118,7 @@
 // its stream, which may be gone, and finds that nobody knows the stream.
 func TestStreamIsFoundAtEveryGateway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(9, 0)
+		n := newNetwork(9, 0, 0)
 		for i := range 50 {
 			key := NewKey("zoo", fmt.Sprint("r", i))
 			began := i % 9
@@ -136,7 +145,7 @@
 // Lost datagrams and restarts hide few streams, and never show a wrong origin.
 func TestFewStreamsAreMissedUnderFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newNetwork(12, 0.05)
+		n := newNetwork(12, 0, 0.05)
 		const streams = 500
 		missed := 0
 		for i := range streams {
@@ -157,6 +166,34 @@
 	})
 }
 
+// All gateways are killed at once while streams run, and their clients come back. The
+// runners outlive that, some of them without their engines, which a release replaced.
+func TestStreamsAreFoundAfterAllGatewaysRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const gateways, runners, streams = 7, 18, 500
+		n := newNetwork(gateways, runners, 0.05)
+		for i := range streams {
+			key := NewKey("zoo", fmt.Sprint("r", i))
+			want := Origin{Service: "llm", Version: fmt.Sprint("v", i%3)}
+			n.registries[i%gateways].Record(key, want)
+		}
+		for i := range gateways {
+			n.restart(i)
+		}
+		n.down[gateways] = true
+		missed := 0
+		for i := range streams {
+			found, ok := n.registries[(i+1)%gateways].Find(t.Context(), NewKey("zoo", fmt.Sprint("r", i)))
+			if !ok {
+				missed++
+				continue
+			}
+			require.Equal(t, Origin{Service: "llm", Version: fmt.Sprint("v", i%3)}, found)
+		}
+		assert.Less(t, missed, streams/20)
+	})
+}
+
 func TestTableForgetsAfterItsLifetimeAndIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := NewTable(bhclock.NewRuntime())
--- a/bhorigin/table.go
+++ b/bhorigin/table.go
@@ -1,7 +1,7 @@
 // Package bhorigin remembers which software version of a service began a stream of
 // events, since what two versions write doesn't fit together. A gateway records each
-// stream that it relays, here and at two other gateways. The gateway to which a
-// client comes back finds it there. Package bhgate calls it.
+// stream that it relays, here, at two other gateways and at two runners. The gateway
+// to which a client comes back finds it there. Package bhgate calls it.
 package bhorigin
 
 import (
--- a/bhpeer/directory.go
+++ b/bhpeer/directory.go
@@ -1,6 +1,7 @@
 package bhpeer
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"slices"
@@ -196,10 +197,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.config.Clock.Now()
-	type ranked struct {
-		rank    uint64
-		address netip.AddrPort
-	}
 	var order []ranked
 	for host, known := range d.peers {
 		address := known.address
@@ -208,14 +205,33 @@
 		} else if now < known.skipUntil || now-known.lastChange > staleAfter {
 			continue
 		}
-		order = append(order, ranked{rank: xxhash.Sum64String(key + "\x00" + host), address: address})
+		order = append(order, newRanked(key, host, address))
 	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		if a.rank < b.rank {
-			return -1
-		}
-		return 1
-	})
+	return addressesByRank(order)
+}
+
+// Rank returns the addresses sorted by a hash of key and address (rendezvous hashing).
+func Rank(key string, addresses []netip.AddrPort) []netip.AddrPort {
+	order := make([]ranked, len(addresses))
+	for i, address := range addresses {
+		order[i] = newRanked(key, address.String(), address)
+	}
+	return addressesByRank(order)
+}
+
+// ranked is an address with the rank that rendezvous hashing gives it.
+type ranked struct {
+	rank    uint64
+	address netip.AddrPort
+}
+
+func newRanked(key, name string, address netip.AddrPort) ranked {
+	return ranked{rank: xxhash.Sum64String(key + "\x00" + name), address: address}
+}
+
+// addressesByRank returns the addresses in the order of their ranks.
+func addressesByRank(order []ranked) []netip.AddrPort {
+	slices.SortFunc(order, func(a, b ranked) int { return cmp.Compare(a.rank, b.rank) })
 	addresses := make([]netip.AddrPort, len(order))
 	for i, entry := range order {
 		addresses[i] = entry.address
