Planned stops: a request that has begun to arrive is answered

Cause: http.Server.Shutdown takes a connection for idle until the whole head of a request has been read, and closes it; so does the closed listener with one that was just accepted. Change: bhserve.CallerListener tracks whether a byte of the next request has arrived, looks for unread bytes, and ends idle connections by their read deadline, which the server sees as an idle timeout. Gateway and entry drain with it in place of Shutdown.

--- a/bhentry/drain.go
+++ b/bhentry/drain.go
@@ -15,6 +15,8 @@
 	leavingDivisor = 10
 
 	announceTimeout = time.Second
+	// callerIdleTimeout is how long a caller's connection may be idle.
+	callerIdleTimeout = 2 * time.Minute
 )
 
 // drain stops the entry gracefully within the drain timeout. At first it still
@@ -32,13 +34,13 @@
 	e.announceLeaving(ctx)
 	<-leavingTimer.C
 	bhlog.Event(e.logger, "entry.closing", "inflight", e.inflight.Count())
-	err := e.server.Shutdown(ctx)
+	whole := e.callers.Drain(ctx)
 	if settleErr := e.idempotency.Close(ctx); settleErr != nil {
 		bhlog.Problem(e.logger, "claims.unsettled", settleErr)
 	}
 	e.limiter.Drain()
 	_ = e.mesh.Close()
-	bhlog.Event(e.logger, "entry.drained", "whole", err == nil)
+	bhlog.Event(e.logger, "entry.drained", "whole", whole)
 }
 
 // announce keeps this host's record in the platform's host list.
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -64,6 +64,7 @@
 	readiness       readiness
 	leaving         atomic.Bool
 	server          *http.Server
+	callers         *bhserve.CallerListener
 }
 
 // New returns an entry. It serves nothing until Run is called.
@@ -114,9 +115,11 @@
 	}
 	servingCtx, stop := context.WithCancel(context.Background())
 	defer stop()
+	e.callers = bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: listeners[0], IdleTimeout: func() time.Duration { return callerIdleTimeout }})
 	e.server = bhserve.NewServer(servingCtx, e.callerHandler())
+	e.server.IdleTimeout = bhserve.IdleTimeoutPlaceholder
 	supervisor := bhtree.New(bhtree.Config{Name: "entry", Logger: e.logger})
-	supervisor.Add("callers", bhserve.Run(e.server, listeners[0]))
+	supervisor.Add("callers", bhserve.Run(e.server, e.callers))
 	supervisor.Add("link", bhserve.Run(bhserve.NewServer(servingCtx, http.HandlerFunc(e.acceptControl)), listeners[1]))
 	supervisor.Add("admin", bhserve.Run(bhserve.NewServer(servingCtx, e.adminHandler()), listeners[2]))
 	supervisor.AddRestarted("sync", e.syncNode.Run)
--- a/bhgate/framing_test.go
+++ b/bhgate/framing_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 )
 
 // framings are those in which an upstream may answer.
@@ -107,7 +108,7 @@
 		require.NoError(t, err)
 		server := &http.Server{Handler: g.gate, ReadHeaderTimeout: time.Minute}
 		go func() {
-			_ = server.Serve(&idleListener{Listener: listener, idleTimeout: func() time.Duration { return time.Minute }})
+			_ = server.Serve(bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: listener, IdleTimeout: func() time.Duration { return time.Minute }}))
 		}()
 		conn, err := net.Dial("tcp", listener.Addr().String())
 		require.NoError(t, err)
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
@@ -21,9 +22,6 @@
 	// stopMargin is what is left of the drain time when requests that still run
 	// are aborted.
 	stopMargin = 700 * time.Millisecond
-	// idleTimeoutPlaceholder is what http.Server is configured with. idleConn
-	// replaces it by the idle timeout of the policy in force.
-	idleTimeoutPlaceholder = 1000 * time.Hour
 	// defaultIdleTimeout applies to readiness checks, and to client requests if no
 	// policy is known or the policy sets no idle timeout.
 	defaultIdleTimeout = 60 * time.Second
@@ -69,7 +67,7 @@
 			Handler:                      config.Gate,
 			ReadHeaderTimeout:            headerTimeout,
 			MaxHeaderBytes:               headerBytes,
-			IdleTimeout:                  idleTimeoutPlaceholder,
+			IdleTimeout:                  bhserve.IdleTimeoutPlaceholder,
 			DisableGeneralOptionsHandler: true,
 		},
 		ready: &http.Server{Handler: e, ReadHeaderTimeout: headerTimeout, IdleTimeout: defaultIdleTimeout},
@@ -85,7 +83,8 @@
 		return nil // ctx ended before both addresses could be listened on
 	}
 	failed := make(chan error, 2)
-	go func() { failed <- s.front.Serve(&idleListener{Listener: front, idleTimeout: s.idleTimeout}) }()
+	callers := bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: front, IdleTimeout: s.idleTimeout})
+	go func() { failed <- s.front.Serve(callers) }()
 	go func() { failed <- s.ready.Serve(ready) }()
 	bhlog.Event(s.config.Logger, "gate.serving", "front", s.config.Front, "ready", s.config.Ready)
 	select {
@@ -93,7 +92,7 @@
 		return errors.Wrap(err, "serving")
 	case <-ctx.Done():
 	}
-	return s.stop()
+	return s.stop(callers)
 }
 
 // listen listens on the address. It retries until ctx is done and then returns
@@ -113,7 +112,7 @@
 
 // stop drains the gate within the drain time and aborts the requests that are
 // left.
-func (s *Server) stop() error {
+func (s *Server) stop(callers *bhserve.CallerListener) error {
 	started := time.Now()
 	drain := s.config.Drain()
 	bhlog.Event(s.config.Logger, "gate.stopping", "inflight", s.config.Gate.Inflight(), "drain", drain)
@@ -121,11 +120,10 @@
 	time.Sleep(min(acceptAfterStop, drain/2))
 	ctx, cancel := context.WithDeadline(context.Background(), started.Add(drain-stopMargin))
 	defer cancel()
-	err := s.front.Shutdown(ctx)
-	if err != nil {
-		bhlog.Problem(s.config.Logger, "gate.cut", err, "inflight", s.config.Gate.Inflight())
-		_ = s.front.Close()
+	if !callers.Drain(ctx) {
+		bhlog.Problem(s.config.Logger, "gate.cut", ctx.Err(), "inflight", s.config.Gate.Inflight())
 	}
+	_ = s.front.Close()
 	_ = s.ready.Close()
 	bhlog.Event(s.config.Logger, "gate.stopped", "took", time.Since(started))
 	return nil
@@ -138,37 +136,3 @@
 	}
 	return defaultIdleTimeout
 }
-
-// idleListener accepts connections whose idle timeout follows the policy.
-type idleListener struct {
-	net.Listener
-	idleTimeout func() time.Duration
-}
-
-// Accept implements net.Listener.
-func (l *idleListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &idleConn{Conn: accepted, idleTimeout: l.idleTimeout}, nil
-}
-
-// idleConn applies the policy's idle timeout in place of that of http.Server,
-// which can't change while it serves.
-type idleConn struct {
-	net.Conn
-	idleTimeout func() time.Duration
-}
-
-// NetConn returns the connection that is wrapped.
-func (c *idleConn) NetConn() net.Conn { return c.Conn }
-
-// SetReadDeadline implements net.Conn. It replaces a deadline that http.Server
-// derived from the placeholder by one from the policy.
-func (c *idleConn) SetReadDeadline(deadline time.Time) error {
-	if !deadline.IsZero() && time.Until(deadline) > idleTimeoutPlaceholder/2 {
-		deadline = time.Now().Add(c.idleTimeout())
-	}
-	return c.Conn.SetReadDeadline(deadline)
-}
