Evacuation: upstreams of an evacuated data centre get no new requests

The operator's records op/evacuate/ZONE were never read. They are now read with the configuration in one call, and bhgate and bhjob leave those upstreams out before each send: new requests, retries, resumed streams, items. Items at such engines are released to others, unless no other engine is left; streams finish. If all data centres of a service are evacuated, requests are refused at once.

--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -18,6 +18,9 @@
 	notAdmitted tally.Counter
 	// limited counts requests refused because of the limits that upstreams name.
 	limited tally.Counter
+	// evacuated counts requests refused because their upstreams are all in evacuated data
+	// centres.
+	evacuated tally.Counter
 	// takenUp counts the streams that clients took up, originUnknown those of them
 	// that were refused because nothing tells which version began them.
 	takenUp       tally.Counter
@@ -37,6 +40,7 @@
 		sends:         scope.Counter("gate_sends"),
 		notAdmitted:   scope.Counter("gate_not_admitted"),
 		limited:       scope.Counter("gate_limited"),
+		evacuated:     scope.Counter("gate_evacuated"),
 		takenUp:       scope.Counter("gate_streams_taken_up"),
 		originUnknown: scope.Counter("gate_origins_unknown"),
 		duration:      scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
--- a/bhgate/origin.go
+++ b/bhgate/origin.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"time"
 
+	"github.com/baobabhaven/baobabhaven/bhadmit"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
@@ -94,15 +96,20 @@
 	return bhorigin.NewKey(account, request)
 }
 
-// instances returns the upstreams of the service that the call may be sent to: all,
-// or those of the version that began its stream.
+// instances returns the upstreams of the service that the call may be sent to: those
+// outside the evacuated data centres that have the version that began its stream.
 func (c *call) instances(service string) []bhwatch.Instance {
-	listed := c.view.Fleet[service]
+	return c.matching(c.view.Available(service))
+}
+
+// matching returns the instances of the version that began the call's stream, or all if
+// none has begun.
+func (c *call) matching(instances []bhwatch.Instance) []bhwatch.Instance {
 	if c.origin == nil {
-		return listed
+		return instances
 	}
 	var matching []bhwatch.Instance
-	for _, instance := range listed {
+	for _, instance := range instances {
 		if instance.Version == c.origin.Version {
 			matching = append(matching, instance)
 		}
@@ -111,8 +118,14 @@
 }
 
 // noUpstream returns the error of a call for which no upstream is left. A client
-// needn't come back for a stream whose version isn't listed any more.
+// needn't come back for a stream whose version isn't listed any more. If all upstreams
+// are in evacuated data centres, it comes back late, as the operator restores those.
 func (c *call) noUpstream(service string) error {
+	if len(c.instances(service)) == 0 && len(c.matching(c.view.Fleet[service])) > 0 {
+		c.gate.metrics.evacuated.Inc(1)
+		return bhcode.New(bhcode.NoUpstream, "all data centres with upstreams for the request at service %q are evacuated", service).
+			WithRetryAfter(bhadmit.RetryAfter(time.Until(c.deadline), 0))
+	}
 	if c.origin == nil {
 		return bhcode.New(bhcode.NoUpstream, "service %q has no upstream left", service).WithRetryAfter(unavailableRetryAfter)
 	}
--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -66,14 +66,16 @@
 }
 
 // PollInterval returns the time between polls of the configuration and of the
-// upstreams, for the given number of polls within the shorter of the two bounds on
+// upstreams, for the given number of polls within the shortest of the bounds on
 // changes. More polls only cost the platform more: with 88 gateways, whose bounds
 // are 4 s, eight reads a second each were half of all calls. It returns zero if no
 // bound is known.
 func (s *Settings) PollInterval(polls int) time.Duration {
 	bound := s.Propagation
-	if s.UpstreamDrain > 0 && (bound == 0 || s.UpstreamDrain < bound) {
-		bound = s.UpstreamDrain
+	for _, other := range []time.Duration{s.UpstreamDrain, s.Evacuation} {
+		if other > 0 && (bound == 0 || other < bound) {
+			bound = other
+		}
 	}
 	return min(maxPollInterval, bound/time.Duration(polls))
 }
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -369,7 +369,8 @@
 }
 
 // targetInstance returns the engine's instance. The error is errNotServed if
-// the item's route doesn't lead to it, and errNoRoute if the route was removed.
+// the item's route doesn't lead to it or it takes no new requests, and errNoRoute if
+// the route was removed.
 func (ir *itemRun) targetInstance() (bhwatch.Instance, error) {
 	instance, ok := ir.runner.engineInstance()
 	view := ir.runner.config.Policies.View()
@@ -380,7 +381,7 @@
 	switch {
 	case route == nil && view.ProvenAt > ir.claimedAt+routeGoneAfter:
 		return instance, errNoRoute
-	case route == nil || !route.Serves(instance.Service) || instance.Draining:
+	case route == nil || !route.Serves(instance.Service) || ir.runner.takesNone(instance):
 		return instance, errNotServed
 	}
 	return instance, nil
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -120,7 +120,8 @@
 	// slots is the number of requests that the engine runs at once; zero if the
 	// engine takes none.
 	slots int
-	// leaving reports that the engine is draining and takes no new requests.
+	// leaving reports that the engine takes no new requests: it is draining, or its data
+	// centre is evacuated.
 	leaving bool
 	load    engineLoad
 	// freeSlots is the number of further items that the engine can take.
@@ -325,7 +326,7 @@
 // claimableCount returns the number of items that may be claimed now.
 func (r *Runner) claimableCount() int {
 	instance, ok := r.engineInstance()
-	if !ok || instance.Draining || !r.fresh() {
+	if !ok || r.takesNone(instance) || !r.fresh() {
 		return 0
 	}
 	r.mu.Lock()
@@ -370,7 +371,7 @@
 		return nil, request
 	}
 	// Each engine of the service may claim at the same time.
-	shared := shareJobs(ranked, maxItemsPerClaim*len(view.Fleet[instance.Service]))
+	shared := shareJobs(ranked, maxItemsPerClaim*len(view.Available(instance.Service)))
 	job := shared[rand.IntN(len(shared))].job
 	request.Lost, request.Held = r.claimLost, r.claimHeld
 	estimate := r.runTimes
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -68,13 +68,11 @@
 	mayStart := r.mayStart()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.slots, r.leaving = 0, listed && instance.Draining
+	r.slots, r.leaving = 0, listed && r.takesNone(instance)
 	switch {
 	case r.leaving:
 		r.freeSlots = 0
-		for _, run := range r.runs {
-			run.release("the engine is draining")
-		}
+		r.leave(instance)
 		return
 	case listed:
 		r.slots = instance.Slots
@@ -107,6 +105,28 @@
 	}
 }
 
+// takesNone reports whether the engine takes no new requests: it is draining, or its data
+// centre is evacuated.
+func (r *Runner) takesNone(instance bhwatch.Instance) bool {
+	return instance.Draining || r.config.Policies.View().Evacuated[instance.Zone]
+}
+
+// leave releases the runs of an engine that takes no new requests, so that other engines go
+// on with them. If its data centre is evacuated and no other engine is left, those at the
+// engine run to their end.
+func (r *Runner) leave(instance bhwatch.Instance) {
+	view := r.config.Policies.View()
+	elsewhere := slices.ContainsFunc(view.Available(instance.Service), func(other bhwatch.Instance) bool { return !other.Draining })
+	for _, run := range r.runs {
+		switch {
+		case instance.Draining:
+			run.release("the engine is draining")
+		case elsewhere || !run.atEngine():
+			run.release("the data centre is evacuated")
+		}
+	}
+}
+
 // reportedInstance returns the engine's instance, or false if the fleet doesn't list
 // it. The instance is draining from the first report on that says that it leaves.
 func (r *Runner) reportedInstance(report LoadReport, ok bool) (bhwatch.Instance, bool) {
--- /dev/null
+++ b/bhwatch/view.go
@@ -0,0 +1,42 @@
+package bhwatch
+
+import (
+	"slices"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+)
+
+// View is a snapshot of the policy and the upstreams that a Watcher has read.
+type View struct {
+	// Index is the indexed policy; nil if none has been read yet.
+	Index *bhpolicy.Index
+	// ProvenAt is the latest time of Config.Clock at which Index was certainly in
+	// force: when the latest successful read of the policy was sent.
+	ProvenAt time.Duration
+	// Fleet holds the upstreams by service; nil if none have been read yet.
+	Fleet map[string][]Instance
+	// Versions holds the software versions of the services' upstreams.
+	Versions Versions
+	// Evacuated holds the data centres whose upstreams must get no new requests.
+	Evacuated map[string]bool
+}
+
+// Available returns the upstreams of the service outside the evacuated data centres.
+func (v *View) Available(service string) []Instance {
+	listed := v.Fleet[service]
+	if len(v.Evacuated) == 0 {
+		return listed
+	}
+	return slices.DeleteFunc(slices.Clone(listed), func(instance Instance) bool { return v.Evacuated[instance.Zone] })
+}
+
+// Serves reports whether the view lists this start of the instance as ready.
+func (v *View) Serves(instance Instance) bool {
+	for _, listed := range v.Fleet[instance.Service] {
+		if listed.ID == instance.ID && listed.Born == instance.Born {
+			return !listed.Draining
+		}
+	}
+	return false
+}
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -1,6 +1,6 @@
-// Package bhwatch polls the platform for the routing policy and the list of
-// upstreams, and records the latest time at which the policy was certainly in
-// force. The gateway command runs a Watcher; bhgate and bhjob read its View.
+// Package bhwatch polls the platform for the routing policy, the evacuated data centres
+// and the list of upstreams, and records the latest time at which the policy was certainly
+// in force. The gateway command runs a Watcher; bhgate and bhjob read its View.
 package bhwatch
 
 import (
@@ -64,40 +64,15 @@
 	RunnerAddr netip.AddrPort
 }
 
-// Source reads the policy and the upstreams from the platform.
+// Source reads the operator's directives and the upstreams from the platform.
 type Source interface {
-	// Policy returns the policy and the version of its record. The policy is
-	// nil if there is none, or if its version equals known.
-	Policy(ctx context.Context, known bhplatform.Version) (*bhpolicy.Policy, bhplatform.Version, error)
+	// Directives returns the directives; the policy is nil if the version of its record
+	// equals known.
+	Directives(ctx context.Context, known bhplatform.Version) (Directives, error)
 	// Instances returns all upstreams that have valid records.
 	Instances(ctx context.Context) ([]Instance, error)
 }
 
-// View is a snapshot of the policy and the upstreams that a Watcher has read.
-type View struct {
-	// Index is the indexed policy; nil if none has been read yet.
-	Index *bhpolicy.Index
-	// ProvenAt is the latest time of Config.Clock at which Index was certainly in
-	// force: when the latest successful read of the policy was sent.
-	ProvenAt time.Duration
-	// Fleet holds the upstreams by service; nil if none have been read yet.
-	Fleet map[string][]Instance
-	// Versions holds the software versions of the services' upstreams.
-	Versions Versions
-	// Evacuated holds the data centres whose upstreams must get no new requests.
-	Evacuated map[string]bool
-}
-
-// Serves reports whether the view lists this start of the instance as ready.
-func (v *View) Serves(instance Instance) bool {
-	for _, listed := range v.Fleet[instance.Service] {
-		if listed.ID == instance.ID && listed.Born == instance.Born {
-			return !listed.Draining
-		}
-	}
-	return false
-}
-
 // Config configures a Watcher.
 type Config struct {
 	Source Source
@@ -111,12 +86,14 @@
 // Watcher polls a Source and keeps the latest View. It is safe for concurrent
 // use.
 type Watcher struct {
-	config   Config
-	proofAge tally.Gauge
+	config    Config
+	proofAge  tally.Gauge
+	evacuated tally.Gauge
 
 	mu                  sync.Mutex
 	index               *bhpolicy.Index
 	version             bhplatform.Version
+	evacuations         evacuations
 	provenAt            time.Duration
 	startedAt           time.Duration
 	fleet               map[string][]Instance
@@ -142,6 +119,7 @@
 		config:    config,
 		startedAt: config.Clock.Now(),
 		proofAge:  config.Scope.Gauge("policy_proof_age_seconds"),
+		evacuated: config.Scope.Gauge("evacuated_centres"),
 		instances: newInstanceTracker(config.Interval + outageThreshold),
 	}
 }
@@ -173,7 +151,7 @@
 func (w *Watcher) View() View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet, Versions: w.instances.versions}
+	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet, Versions: w.instances.versions, Evacuated: w.evacuations.centres}
 }
 
 // Confirm reads the policy again, with a read that is sent after the call, and
@@ -211,7 +189,7 @@
 	w.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
 	defer cancel()
-	pending.err = bhtree.Guard(ctx, w.readPolicy)
+	pending.err = bhtree.Guard(ctx, w.readDirectives)
 	close(pending.done)
 }
 
@@ -238,7 +216,7 @@
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
 	sent := w.config.Clock.Now()
-	err := w.readPolicy(ctx)
+	err := w.readDirectives(ctx)
 	if err == nil {
 		err = w.readFleet(ctx, sent)
 	}
@@ -261,19 +239,26 @@
 	}
 }
 
-// readPolicy reads the policy and adopts it if its record is newer than the known
-// one. An answer with an older version, overtaken by a later read, is ignored.
-func (w *Watcher) readPolicy(ctx context.Context) error {
+// readDirectives reads the directives. It adopts the policy if its record is newer than the
+// known one, and the evacuations also if the policy can't be used. An answer with older
+// versions, overtaken by a later read, is ignored.
+func (w *Watcher) readDirectives(ctx context.Context) error {
 	sent := w.config.Clock.Now()
 	w.mu.Lock()
 	knownVersion := w.version
 	w.mu.Unlock()
-	policy, version, err := w.config.Source.Policy(ctx, knownVersion)
+	directives, err := w.config.Source.Directives(ctx, knownVersion)
 	if err != nil {
 		return err
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.evacuations.update(directives, w.config.Logger)
+	w.evacuated.Update(float64(len(w.evacuations.centres)))
+	if directives.PolicyErr != nil {
+		return directives.PolicyErr
+	}
+	policy, version := directives.Policy, directives.PolicyVersion
 	if version < w.version {
 		return nil
 	}
--- a/bhwatch/watch_test.go
+++ b/bhwatch/watch_test.go
@@ -24,6 +24,8 @@
 	mu        sync.Mutex
 	version   bhplatform.Version
 	instances []Instance
+	evacuated map[string]bool
+	policyErr error
 	latency   time.Duration
 	err       error
 	reads     int
@@ -35,22 +37,23 @@
 	change(s)
 }
 
-// Policy implements Source. It answers after the latency with the values at the
+// Directives implements Source. It answers after the latency with the values at the
 // time of the call.
-func (s *fakeSource) Policy(ctx context.Context, known bhplatform.Version) (*bhpolicy.Policy, bhplatform.Version, error) {
+func (s *fakeSource) Directives(ctx context.Context, known bhplatform.Version) (Directives, error) {
 	s.mu.Lock()
-	version, latency, err := s.version, s.latency, s.err
+	latency, err := s.latency, s.err
+	directives := Directives{Version: s.version, PolicyVersion: s.version, PolicyErr: s.policyErr, Evacuated: s.evacuated}
 	s.reads++
 	s.mu.Unlock()
 	select {
 	case <-ctx.Done():
-		return nil, 0, ctx.Err()
+		return Directives{}, ctx.Err()
 	case <-time.After(latency):
 	}
-	if err != nil || version == known {
-		return nil, version, err
+	if err == nil && directives.PolicyErr == nil && directives.Version != known {
+		directives.Policy = &bhpolicy.Policy{Version: int64(directives.Version)}
 	}
-	return &bhpolicy.Policy{Version: int64(version)}, version, nil
+	return directives, err
 }
 
 // Instances implements Source.
