--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -9,6 +9,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,36 @@
 // doesn't block.
 const maxInlineWrite = 8 << 10
 
+const (
+	// maxSkipped bounds the answers to earlier requests that are skipped on a reused
+	// connection. Together with the head they have maxHeadBytes at most.
+	maxSkipped = 2
+	// forgottenWithin is several round trips within a region. A connection that breaks
+	// later broke while the request ran.
+	forgottenWithin = 30 * time.Millisecond
+)
+
+// ForgottenError reports that a reused connection broke, before any byte of an answer
+// came, as soon as the request was sent: the upstream had most likely closed it.
+type ForgottenError struct {
+	// Rested is how long the connection had been idle.
+	Rested time.Duration
+	cause  error
+}
+
+// Error implements error.
+func (e *ForgottenError) Error() string {
+	return "connection idle for " + e.Rested.String() + " broke: " + e.cause.Error()
+}
+
+// Unwrap returns the error of the connection.
+func (e *ForgottenError) Unwrap() error { return e.cause }
+
+// isClosed reports whether err says that the upstream closed or reset the connection.
+func isClosed(err error) bool {
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
 // Request is one request to an upstream.
 type Request struct {
 	Method string
@@ -33,9 +64,15 @@
 	// IDHeader names a field of Header that the answer must echo. If it is empty,
 	// nothing is checked.
 	IDHeader string
-	// Reuse allows an idle connection. The upstream may close it before it reads
+	// MaxRest allows a connection that has been idle for this long at most; zero
+	// demands a new one. The upstream may close an idle connection before it reads
 	// the request.
-	Reuse bool
+	MaxRest time.Duration
+}
+
+// answeredBy reports whether the response echoes the request's ID.
+func (r *Request) answeredBy(response *http.Response) bool {
+	return r.IDHeader == "" || response.Header.Get(r.IDHeader) == r.Header.Get(r.IDHeader)
 }
 
 // Framing is how the end of an answer's body is marked.
@@ -88,23 +125,29 @@
 // to RanNo if there was no connection, RanUnknown otherwise. The connection is
 // closed as soon as ctx is done, also while the body is being read.
 func (p *Pool) Exchange(ctx context.Context, address string, request *Request) (*Answer, error) {
-	c, reused, err := p.get(ctx, address, request.Reuse)
+	c, rested, err := p.get(ctx, address, request.MaxRest)
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.UpstreamLost, "connecting to "+address)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
-	answer, err := p.roundTrip(c, request)
+	answer, err := p.roundTrip(c, request, rested)
 	if err != nil {
 		stop()
 		_ = c.Close()
+		var forgotten *ForgottenError
+		if errors.As(err, &forgotten) {
+			p.forgotten(rested)
+		}
 		return nil, bhcode.Wrap(err, bhcode.UpstreamLost, "upstream "+address).WithRan(bhcode.RanUnknown)
 	}
-	answer.Reused, answer.address, answer.stop = reused, address, stop
+	answer.Reused, answer.address, answer.stop = rested > 0, address, stop
 	return answer, nil
 }
 
-// roundTrip sends the request on c and reads the head of the answer.
-func (p *Pool) roundTrip(c *conn, request *Request) (*Answer, error) {
+// roundTrip sends the request on c, which was idle for rested before, and reads the
+// head of the answer. On a reused connection it skips answers to earlier requests.
+func (p *Pool) roundTrip(c *conn, request *Request, rested time.Duration) (*Answer, error) {
+	sentAt := time.Now()
 	writeErr := make(chan error, 1)
 	data := encodeRequest(request)
 	send := func() {
@@ -118,14 +161,24 @@
 	}
 	c.headBytes = maxHeadBytes
 	response, err := readFinalHead(c.reader, request.Method) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
+	skipped := 0
+	for ; rested > 0 && err == nil && skipped < maxSkipped && !request.answeredBy(response) && !response.Close; skipped++ {
+		if err = skipBody(response); err == nil {
+			response, err = readFinalHead(c.reader, request.Method) //nolint:bodyclose // as above
+		}
+	}
+	answered := c.headBytes < maxHeadBytes
 	c.headBytes = -1
-	if err != nil {
+	switch {
+	case err != nil && rested > 0 && !answered && isClosed(err) && time.Since(sentAt) < forgottenWithin:
+		return nil, &ForgottenError{Rested: rested, cause: err}
+	case err != nil:
 		return nil, err
 	}
-	if wantID := request.Header.Get(request.IDHeader); request.IDHeader != "" && response.Header.Get(request.IDHeader) != wantID {
-		return nil, errors.Errorf("answer for request %q instead of %q", response.Header.Get(request.IDHeader), wantID)
+	if !request.answeredBy(response) {
+		return nil, errors.Errorf("answer for request %q instead of %q", response.Header.Get(request.IDHeader), request.Header.Get(request.IDHeader))
 	}
-	reusable := !response.Close
+	reusable := !response.Close && skipped == 0
 	select {
 	case err := <-writeErr:
 		reusable = reusable && err == nil
@@ -134,7 +187,7 @@
 		reusable = false
 	}
 	if timeout, ok := keepAliveTimeout(response.Header); ok {
-		c.idleTimeout = min(c.idleTimeout, timeout)
+		c.idleTimeout = min(maxDeclaredIdleTimeout, timeout)
 	}
 	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: FramingOf(response), pool: p, conn: c, reusable: reusable}
 	answer.Body = &bodyReader{body: response.Body, answer: answer}
@@ -168,6 +221,15 @@
 	return n, err
 }
 
+// skipBody reads the response's body, whose end must be marked.
+func skipBody(response *http.Response) error {
+	if FramingOf(response) == FramedByClose {
+		return errors.New("an answer to an earlier request ends with the connection")
+	}
+	_, err := io.Copy(io.Discard, response.Body)
+	return errors.Wrap(err, "skipping an answer to an earlier request")
+}
+
 // readFinalHead reads response heads and skips interim (1xx) ones.
 func readFinalHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
--- a/bhforward/exchange_test.go
+++ b/bhforward/exchange_test.go
@@ -70,7 +70,7 @@
 func newTestRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, Target: "/a/../b?x=1&y=%2F", Host: "one.example",
-		Header: http.Header{"X-Request-Id": {id}}, Body: []byte("body"), IDHeader: "X-Request-Id", Reuse: true,
+		Header: http.Header{"X-Request-Id": {id}}, Body: []byte("body"), IDHeader: "X-Request-Id", MaxRest: time.Second,
 	}
 }
 
@@ -125,7 +125,9 @@
 				waitClosed(t, pool, upstream.address())
 			}
 			request := newTestRequest("r")
-			request.Reuse = c.reuse
+			if !c.reuse {
+				request.MaxRest = 0
+			}
 			answer, err = pool.Exchange(t.Context(), upstream.address(), request)
 			require.NoError(t, err)
 			assert.Equal(t, c.reused, answer.Reused)
@@ -142,7 +144,7 @@
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
 		conns := pool.idle[address]
-		return len(conns) == 0 || !conns[0].usable()
+		return len(conns) == 0 || !conns[0].usable(time.Minute)
 	}, 5*time.Second, time.Millisecond)
 }
 
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,8 +25,12 @@
 	// userTimeout is how long sent bytes may stay unacknowledged before the
 	// connection fails, so that an unreachable upstream is detected.
 	userTimeout = 3 * time.Second
-	// maxIdleTimeout is shorter than the usual idle timeouts of servers.
+	// maxIdleTimeout is shorter than the usual idle timeouts of servers. It applies
+	// where the upstream declares none.
 	maxIdleTimeout = 2 * time.Second
+	// maxDeclaredIdleTimeout bounds the idle time of one connection to an upstream
+	// that declares a longer timeout. Further ones rest for maxIdleTimeout at most.
+	maxDeclaredIdleTimeout = 10 * time.Second
 	// maxIdlePerAddress bounds the idle connections to one upstream, because
 	// upstreams limit their number of connections.
 	maxIdlePerAddress = 4
@@ -37,7 +42,7 @@
 )
 
 // conn is one connection to an upstream. It isn't reused after idleTimeout, which
-// is maxIdleTimeout or the lower value that the upstream declared.
+// is maxIdleTimeout or follows from the value that the upstream declared.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -71,10 +76,11 @@
 	return n, err
 }
 
-// usable reports whether an idle connection may be reused: it has not exceeded
-// its idle timeout, is still open and has no unexpected bytes to read.
-func (c *conn) usable() bool {
-	if time.Since(c.idleSince) > c.idleTimeout || c.reader.Buffered() > 0 {
+// usable reports whether an idle connection may be reused: it has rested for
+// maxRest and its idle timeout at most, is still open and has no unexpected bytes
+// to read.
+func (c *conn) usable(maxRest time.Duration) bool {
+	if c.rested() > min(c.idleTimeout, maxRest) || c.reader.Buffered() > 0 {
 		return false
 	}
 	rawConn, err := c.Conn.(syscall.Conn).SyscallConn()
@@ -91,12 +97,17 @@
 	return err == nil && wouldBlock
 }
 
+// rested returns how long the connection has been idle.
+func (c *conn) rested() time.Duration { return time.Since(c.idleSince) }
+
 // Pool keeps idle connections to upstreams. Use NewPool to create one.
 type Pool struct {
 	dialer net.Dialer
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[string][]*conn // sorted by idleSince, oldest first
+	// rests is learned from idle connections that upstreams had forgotten.
+	rests RestLimit
 }
 
 // NewPool returns a pool without connections.
@@ -118,8 +129,21 @@
 	return false
 }
 
-// Run closes connections idle for longer than maxIdleTimeout, at that interval,
-// until ctx is done. It returns nil.
+// Idle reports whether the pool has a connection to the address that has rested for
+// maxRest at most. The connection may turn out to be closed.
+func (p *Pool) Idle(address string, maxRest time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	conns := p.idle[address]
+	if len(conns) == 0 {
+		return false
+	}
+	newest := conns[len(conns)-1]
+	return newest.rested() <= min(newest.idleTimeout, maxRest, p.rests.Current(time.Now()))
+}
+
+// Run closes connections that have been idle for too long, at intervals of
+// maxIdleTimeout, until ctx is done. It returns nil.
 func (p *Pool) Run(ctx context.Context) error {
 	for bhtree.Sleep(ctx, maxIdleTimeout) {
 		p.prune()
@@ -127,13 +151,20 @@
 	return nil
 }
 
-// prune closes the connections idle for longer than maxIdleTimeout.
+// prune closes the connections that have been idle for too long: the newest of each
+// address after its idle timeout, others after maxIdleTimeout.
 func (p *Pool) prune() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.idle {
-		// Connections are sorted by idleSince, oldest first.
-		for len(conns) > 0 && time.Since(conns[0].idleSince) > maxIdleTimeout {
+		for len(conns) > 0 {
+			allowed := conns[0].idleTimeout
+			if len(conns) > 1 {
+				allowed = min(allowed, maxIdleTimeout)
+			}
+			if conns[0].rested() <= allowed {
+				break
+			}
 			_ = conns[0].Close()
 			conns = conns[1:]
 		}
@@ -156,24 +187,44 @@
 	return nil
 }
 
-// get returns a connection to the address and whether it was idle before. It
-// dials a new one if reuse is false or no idle connection is usable.
-func (p *Pool) get(ctx context.Context, address string, reuse bool) (*conn, bool, error) {
-	for reuse {
+// get returns a connection to the address and how long it was idle before. It dials
+// a new one, which was idle for zero, if no connection is usable after maxRest at
+// most.
+func (p *Pool) get(ctx context.Context, address string, maxRest time.Duration) (*conn, time.Duration, error) {
+	for maxRest > 0 {
 		c := p.pop(address)
 		if c == nil {
 			break
 		}
-		if c.usable() {
-			return c, true, nil
+		rested := max(c.rested(), 1)
+		if c.usable(min(maxRest, p.restLimit())) {
+			return c, rested, nil
+		}
+		if rested > maxRest {
+			p.restore(address, c) // others may rest longer; older ones have, too
+			break
 		}
 		_ = c.Close()
 	}
 	netConn, err := p.dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
-		return nil, false, err
+		return nil, 0, err
 	}
-	return newConn(netConn), false, nil
+	return newConn(netConn), 0, nil
+}
+
+func (p *Pool) restLimit() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.rests.Current(time.Now())
+}
+
+// forgotten records that an upstream had forgotten a connection that rested for the
+// time.
+func (p *Pool) forgotten(rested time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.rests.Forgotten(rested, time.Now())
 }
 
 func (p *Pool) pop(address string) *conn {
@@ -188,6 +239,14 @@
 	return c
 }
 
+// restore puts back a connection that pop returned and that wasn't used.
+func (p *Pool) restore(address string, c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[address] = append(p.idle[address], c)
+	slices.SortFunc(p.idle[address], func(a, b *conn) int { return a.idleSince.Compare(b.idleSince) })
+}
+
 func (p *Pool) put(address string, c *conn) {
 	c.idleSince = time.Now()
 	p.mu.Lock()
--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -105,6 +105,12 @@
 // returns false if no instance is usable. Instances whose runner reports that the
 // engine is leaving aren't.
 func (b *Balancer) Pick(instances []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, bool) {
+	return b.PickPreferring(instances, excluded, loads, nil)
+}
+
+// PickPreferring is Pick that prefers the instances that preferred accepts, if it isn't
+// nil, to others of nearly equal load.
+func (b *Balancer) PickPreferring(instances []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room, preferred func(bhwatch.Instance) bool) (bhwatch.Instance, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
@@ -115,7 +121,11 @@
 		if !b.usable(instance, excluded, now) || loads[instance.RunnerAddr].Leaving {
 			continue
 		}
-		if score := b.score(instance, loads, now); !found || score < least {
+		score := b.score(instance, loads, now)
+		if preferred != nil && preferred(instance) {
+			score -= preferredRequests / float64(max(1, instance.Slots))
+		}
+		if !found || score < least {
 			best, least, found = instance, score, true
 		}
 	}
@@ -142,6 +152,9 @@
 	// is paused for a live request, but produces nothing for about 50 ms when it
 	// resumes.
 	itemWeight = 0.6
+	// preferredRequests is the load, in live requests, that a preferred instance may have
+	// above that of others.
+	preferredRequests = 0.25
 	// otherCentreScore and jitterScore only decide between instances of equal
 	// load.
 	otherCentreScore = 0.02
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -36,7 +36,7 @@
 		return instance, nil
 	}
 	c.choice = engineChoice{}
-	sample := balancer.Sample(instances, excluded, engineSampleSize)
+	sample := c.sampleEngines(instances, excluded)
 	loads := c.queryLoads(ctx, sample)
 	candidates := sample
 	if !c.anyFree(sample, excluded, loads) {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -247,12 +247,17 @@
 		c.upstreamBroke(ctx, instance, sentAt, err)
 		timer.stop()
 		cancel()
-		if c.r.Context().Err() == nil {
+		var forgotten *bhforward.ForgottenError
+		switch {
+		case errors.As(err, &forgotten):
+			c.gate.metrics.forgotten.Inc(1) // says nothing about the upstream's health
+		case c.r.Context().Err() == nil:
 			c.gate.config.Balancer.Failed(instance.ID, err)
 			c.engineWatch.failed()
 		}
 		return nil, err
 	}
+	c.countConnection(answer)
 	c.framing = answer.Framing
 	timer.reset()
 	if answer.Status != http.StatusMisdirectedRequest {
@@ -286,9 +291,7 @@
 		Header:   header,
 		Body:     c.body,
 		IDHeader: dialect.RequestID,
-		// A request on a kept-alive connection that went silent is lost, so
-		// requests that must not be sent again get a new connection.
-		Reuse: c.route.Kind == bhpolicy.Safe,
+		MaxRest:  c.maxRest(instance, c.choice.load),
 	}
 }
 
--- a/bhgate/limit.go
+++ b/bhgate/limit.go
@@ -50,7 +50,7 @@
 	allowed := withinLimits(instances, loads)
 	refused := maps.Clone(excluded)
 	for range maxLimitAsks {
-		instance, ok := c.gate.config.Balancer.Pick(allowed, refused, loads)
+		instance, ok := c.gate.config.Balancer.PickPreferring(allowed, refused, loads, c.connected(loads))
 		if !ok {
 			return instance, false
 		}
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -22,8 +22,13 @@
 	// that were refused because nothing tells which version began them.
 	takenUp       tally.Counter
 	originUnknown tally.Counter
-	duration      tally.Histogram
-	failures      map[bhcode.Code]tally.Counter
+	// connected counts the sends that were answered on a new connection, reused those on
+	// an idle one, and forgotten those that broke on an idle one at once.
+	connected tally.Counter
+	reused    tally.Counter
+	forgotten tally.Counter
+	duration  tally.Histogram
+	failures  map[bhcode.Code]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -39,6 +44,9 @@
 		limited:       scope.Counter("gate_limited"),
 		takenUp:       scope.Counter("gate_streams_taken_up"),
 		originUnknown: scope.Counter("gate_origins_unknown"),
+		connected:     scope.Counter("gate_connections_new"),
+		reused:        scope.Counter("gate_connections_reused"),
+		forgotten:     scope.Counter("gate_connections_forgotten"),
 		duration:      scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
 		failures:      failures,
 	}
