--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -52,6 +53,10 @@
 	return errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// AnyRest is a Request.MaxRest that leaves it to the pool how long a connection may
+// have been idle.
+const AnyRest time.Duration = math.MaxInt64
+
 // Request is one request to an upstream.
 type Request struct {
 	Method string
@@ -147,7 +152,6 @@
 // roundTrip sends the request on c, which was idle for rested before, and reads the
 // head of the answer. On a reused connection it skips answers to earlier requests.
 func (p *Pool) roundTrip(c *conn, request *Request, rested time.Duration) (*Answer, error) {
-	sentAt := time.Now()
 	writeErr := make(chan error, 1)
 	data := encodeRequest(request)
 	send := func() {
@@ -159,20 +163,8 @@
 	} else {
 		go send() // the upstream may answer before it has read the whole request
 	}
-	c.headBytes = maxHeadBytes
-	response, err := readFinalHead(c.reader, request.Method) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
-	skipped := 0
-	for ; rested > 0 && err == nil && skipped < maxSkipped && !request.answeredBy(response) && !response.Close; skipped++ {
-		if err = skipBody(response); err == nil {
-			response, err = readFinalHead(c.reader, request.Method) //nolint:bodyclose // as above
-		}
-	}
-	answered := c.headBytes < maxHeadBytes
-	c.headBytes = -1
-	switch {
-	case err != nil && rested > 0 && !answered && isClosed(err) && time.Since(sentAt) < forgottenWithin:
-		return nil, &ForgottenError{Rested: rested, cause: err}
-	case err != nil:
+	response, skipped, err := readAnswer(c, request, rested) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
+	if err != nil {
 		return nil, err
 	}
 	if !request.answeredBy(response) {
@@ -194,6 +186,28 @@
 	return answer, nil
 }
 
+// readAnswer reads the head of the answer to the request on c, which was idle for rested
+// before. It returns how many answers to earlier requests it skipped.
+func readAnswer(c *conn, request *Request, rested time.Duration) (*http.Response, int, error) {
+	startedAt := time.Now()
+	c.headBytes = maxHeadBytes
+	defer func() { c.headBytes = -1 }()
+	response, err := readFinalHead(c.reader, request.Method)
+	skipped := 0
+	for ; rested > 0 && err == nil && skipped < maxSkipped && !request.answeredBy(response) && !response.Close; skipped++ {
+		if err = skipBody(response); err == nil {
+			response, err = readFinalHead(c.reader, request.Method)
+		}
+	}
+	if err == nil {
+		return response, skipped, nil
+	}
+	if rested > 0 && c.headBytes == maxHeadBytes && isClosed(err) && time.Since(startedAt) < forgottenWithin {
+		err = &ForgottenError{Rested: rested, cause: err}
+	}
+	return nil, skipped, err
+}
+
 // Close returns the connection to the pool if it can be reused: the whole request
 // was written, the whole body was read, nothing follows the body, the upstream
 // doesn't close the connection and the context isn't done. Otherwise Close closes
--- a/bhforward/rest.go
+++ b/bhforward/rest.go
@@ -1,9 +1,6 @@
 package bhforward
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 const (
 	// minForgottenRest is the rest below which a broken connection isn't taken for a
@@ -26,14 +23,14 @@
 // Current returns the limit at the time.
 func (r *RestLimit) Current(now time.Time) time.Duration {
 	if r.limit == 0 {
-		return math.MaxInt64
+		return AnyRest
 	}
 	doublings := int(now.Sub(r.lowered) / restRecovery)
 	if limit := r.limit << min(doublings, 20); limit < maxDeclaredIdleTimeout {
 		return limit
 	}
 	r.limit = 0
-	return math.MaxInt64
+	return AnyRest
 }
 
 // Forgotten records that an upstream had forgotten a connection that rested for the
--- a/bhgate/connections.go
+++ b/bhgate/connections.go
@@ -14,9 +14,6 @@
 	// momentaryRest is how long a connection may have been idle that takes a request
 	// which may not be sent again. Upstreams that forget idle connections do so later.
 	momentaryRest = 200 * time.Millisecond
-	// longestRest leaves it to the pool how long a connection may have been idle that
-	// takes a request which may be sent again.
-	longestRest = time.Hour
 	// connectedSampleSize is how many of the engines that are asked for their load first
 	// are ones with an idle connection. The others are drawn from all, so that a gateway
 	// finds the engines that have become free.
@@ -31,7 +28,7 @@
 	case c.permit != nil:
 		return 0 // what breaks a trial must be its upstream, not its connection
 	case c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts:
-		return longestRest
+		return bhforward.AnyRest
 	case provenAlive || c.route.Kind == bhpolicy.Safe:
 		return momentaryRest
 	}
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -464,5 +464,6 @@
 		Header:   header,
 		Body:     ir.item.Body,
 		IDHeader: dialect.RequestID,
+		MaxRest:  bhforward.AnyRest, // an item that breaks is sent again
 	}
 }
