Rates: replace tokens lost with a dead keeper from the tolerance

Cause: what a dead process had leased may have been used, so accounts within their rate ran short after it. Change: in fleets with a keeper 0.6 of the tolerance over the rate isn't used for the rate but replaces lost tokens, at most once in 10.8 s; the setting quotaWindowS says how much that is. Tried and dropped: taking the credit from the slack as well (more refused in calm).

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -246,7 +246,7 @@
 		Index:  h.index,
 		Tolerance: func() bhquota.Tolerance {
 			settings := h.file.Current()
-			return bhquota.Tolerance{Over: settings.QuotaOver, Slack: settings.QuotaSlack}
+			return bhquota.Tolerance{Over: settings.QuotaOver, Slack: settings.QuotaSlack, Window: settings.QuotaWindow}
 		},
 		Peers:  &bhquota.PeerGateways{Directory: directory, Socket: socket, Logger: h.logger},
 		Clock:  h.clock,
--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -53,6 +53,8 @@
 	// burst: by a number of requests, and by a share (0.1 is 10%).
 	QuotaSlack float64
 	QuotaOver  float64
+	// QuotaWindow is the length of the windows in which that holds. Zero means unknown.
+	QuotaWindow time.Duration
 	// ColdSlack and ColdOver are how far an upstream's requests in a second may exceed the
 	// rate that it takes while it is cold: by a number of requests, and as a multiple of
 	// the rate (1.5 is half more). Zero means that no bound is set.
--- a/bhquota/conflict_test.go
+++ b/bhquota/conflict_test.go
@@ -50,7 +50,7 @@
 		account := bhpolicy.Account{Name: "zoo", Rate: 40, Burst: 40}
 		index := bhpolicy.NewIndex(&bhpolicy.Policy{Accounts: []bhpolicy.Account{account}})
 		store := &contendedStore{Store: bhstand.NewStore(bhstand.StoreConfig{Latency: 5 * time.Millisecond})}
-		limit := effectiveLimit(&account, tolerance)
+		limit := effectiveLimit(&account, tolerance, false)
 		// Only the reserve is left, from which nothing is prefetched.
 		bucket := sharedBucket{Level: limit.sharedReserve(), UpdatedAt: time.Second, Leases: map[string]lease{
 			"other.1": {Cap: limit.capacity - limit.sharedReserve(), Rate: maxLeasedRateShare * limit.rate, ExpiresAt: 24 * time.Hour},
--- a/bhquota/fleet_test.go
+++ b/bhquota/fleet_test.go
@@ -24,7 +24,7 @@
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-var tolerance = Tolerance{Over: 0.1, Slack: 20}
+var tolerance = Tolerance{Over: 0.1, Slack: 20, Window: window}
 
 // window is the length of the windows in which the bound is checked.
 const window = 5 * time.Second
@@ -40,6 +40,8 @@
 	store    *bhstand.Store
 	index    atomic.Pointer[bhpolicy.Index]
 	gateways []*gateway
+	// starts counts the processes, which are different holders.
+	starts atomic.Int64
 
 	mu sync.Mutex
 	// takenAt holds the times at which tokens were taken, by account.
@@ -80,7 +82,7 @@
 	g.limiter = New(Config{
 		Peers:     g,
 		Store:     g,
-		Holder:    fmt.Sprintf("%s.%d", host, len(f.gateways)),
+		Holder:    fmt.Sprintf("%s.%d", host, f.starts.Add(1)),
 		Index:     f.index.Load,
 		Tolerance: func() Tolerance { return tolerance },
 		Clock:     bhclock.NewRuntime(),
@@ -126,6 +128,14 @@
 	return peers
 }
 
+// Count implements Peers.
+func (g *gateway) Count() int {
+	if time.Now().Before(g.fleet.strangersUntil) {
+		return 1
+	}
+	return len(g.fleet.listGateways())
+}
+
 // Draw implements Peers. Frozen and dead gateways don't answer. A frozen caller
 // gets the answer only after its freeze.
 func (g *gateway) Draw(ctx context.Context, peer netip.AddrPort, draw bhwire.Draw) (bhwire.Drawn, bool) {
--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -61,6 +61,9 @@
 	Over float64
 	// Slack is a number of requests that may pass in addition.
 	Slack float64
+	// Window is the length of the windows. The bound holds in those of other lengths too,
+	// but a part of what Over allows in them isn't used if Window is unknown, zero.
+	Window time.Duration
 }
 
 // Config configures a Limiter.
@@ -179,7 +182,7 @@
 	wait, over := s.refuse(account.Rate)
 	if !over {
 		// Where several gateways keep tokens, none can tell.
-		unclear.Unknown = order.central()
+		unclear.Unknown = order.central
 		return unclear
 	}
 	return Decision{RetryAfter: max(least, wait) + rand.N(maxOverAge)}
@@ -197,7 +200,7 @@
 // more of them.
 func (l *Limiter) acquire(ctx context.Context, s *syncer, order peerOrder, account *bhpolicy.Account, patience time.Duration) bool {
 	peers := order.draw()
-	elsewhere := order.central() && len(peers) > 0
+	elsewhere := order.central && len(peers) > 0
 	if s.trySpend(!elsewhere) {
 		return true
 	}
--- a/bhquota/limiter_test.go
+++ b/bhquota/limiter_test.go
@@ -272,14 +272,14 @@
 			}
 			time.Sleep(330 * time.Millisecond)
 		}
-		sharedReserve := sharedReserveShare * effectiveLimit(&bhpolicy.Account{Rate: 5, Burst: 5}, tolerance).capacity
+		sharedReserve := sharedReserveShare * effectiveLimit(&bhpolicy.Account{Rate: 5, Burst: 5}, tolerance, false).capacity
 		assert.GreaterOrEqual(t, float64(grantedEarly), sharedReserve, "the shared reserve serves requests until the lease expires")
 		f.close()
 	})
 }
 
 func TestRestartDropsLeaseOfPreviousProcess(t *testing.T) {
-	limit := effectiveLimit(&bhpolicy.Account{Rate: 10, Burst: 10}, tolerance)
+	limit := effectiveLimit(&bhpolicy.Account{Rate: 10, Burst: 10}, tolerance, false)
 	b := &sharedBucket{Leases: map[string]lease{
 		"a.1": {Tokens: 20, Rate: 8, Cap: 20, ExpiresAt: time.Hour},
 		"b.1": {Tokens: 1, Rate: 1, Cap: 1, ExpiresAt: time.Hour},
--- a/bhquota/peers.go
+++ b/bhquota/peers.go
@@ -47,6 +47,8 @@
 	// account's tokens from them. It is the same at all gateways that know the same
 	// ones. An invalid address stands for this gateway.
 	Order(account string) []netip.AddrPort
+	// Count returns the number of gateways, also of those that Order leaves out.
+	Count() int
 	// Draw asks a gateway for tokens of an account. It reports false if there was no
 	// valid answer.
 	Draw(ctx context.Context, peer netip.AddrPort, draw bhwire.Draw) (bhwire.Drawn, bool)
@@ -122,16 +124,10 @@
 	// before are the gateways before this one, after those behind it.
 	before []netip.AddrPort
 	after  []netip.AddrPort
-}
-
-// newPeerOrder returns the order in which an invalid address stands for this gateway.
-// One without it has this gateway first.
-func newPeerOrder(order []netip.AddrPort) peerOrder {
-	own := slices.IndexFunc(order, func(peer netip.AddrPort) bool { return !peer.IsValid() })
-	if own < 0 {
-		return peerOrder{after: order}
-	}
-	return peerOrder{before: order[:own], after: order[own+1:]}
+	// central reports that one gateway keeps the account's tokens for all. With more
+	// gateways than minLocalShare allows, none sees enough of the demand to keep the
+	// right part, and what it kept would be missing where the demand jumps.
+	central bool
 }
 
 // orderFor returns the order of the account. It is empty without other gateways.
@@ -139,14 +135,11 @@
 	if peers == nil {
 		return peerOrder{}
 	}
-	return newPeerOrder(peers.Order(account))
-}
-
-// central reports whether one gateway keeps the tokens of an account for all. With more
-// gateways than a tenth of the rate allows each, no gateway sees enough of the demand to
-// keep the right part itself, and what it kept would be missing where the demand jumps.
-func (o peerOrder) central() bool {
-	return float64(len(o.before)+len(o.after)+1)*minLocalShare > 1
+	order := peerOrder{after: peers.Order(account), central: float64(peers.Count())*minLocalShare > 1}
+	if own := slices.IndexFunc(order.after, func(peer netip.AddrPort) bool { return !peer.IsValid() }); own >= 0 {
+		order.before, order.after = order.after[:own], order.after[own+1:]
+	}
+	return order
 }
 
 // draw returns the gateways to draw tokens from, none if this gateway is the first.
--- a/bhquota/proposal.go
+++ b/bhquota/proposal.go
@@ -35,12 +35,16 @@
 // if release is set, and returns the change as a proposal. Tokens and rate that
 // the new lease lacks are taken out of the local bucket at once.
 func (s *syncer) proposeLease(b *sharedBucket, storeTime time.Duration, release bool) proposal {
+	order := orderFor(s.config.Peers, s.account)
+	reserved := order.central || b.credited(storeTime) > 0
 	var limit rateLimit
 	if index := s.config.Index(); index != nil {
-		limit = effectiveLimit(index.AccountNamed(s.account), s.config.Tolerance())
+		limit = effectiveLimit(index.AccountNamed(s.account), s.config.Tolerance(), reserved)
 	}
 	lost := b.advance(limit, storeTime)
 	lost += b.dropEarlierProcessLeases(s.config.Holder)
+	b.reserve(reserved, storeTime)
+	b.replaceLost(lost, limit, storeTime)
 	s.contenders = max(1, len(b.Leases))
 	s.serial++
 	s.mu.Lock()
@@ -51,8 +55,7 @@
 	remaining := min(local.advance(s.config.Clock.Now()), limit.capacity)
 	local.line.rate = limit.rate
 	local.maxPrefetch = (limit.capacity - limit.sharedReserve()) / float64(s.contenders)
-	order := orderFor(s.config.Peers, s.account)
-	local.central = order.central()
+	local.central = order.central
 	local.keeper = local.central && len(order.before) == 0
 	if local.central {
 		local.maxPrefetch = min(local.maxPrefetch, maxCentralShare*limit.capacity)
--- a/bhquota/shared_bucket.go
+++ b/bhquota/shared_bucket.go
@@ -11,9 +11,14 @@
 // exceeds the bucket's capacity, and the bucket's own rate plus all leased rates
 // equals the account's rate. So in any window of length w at most
 // capacity + rate x w requests pass, whether or not gateways fail.
+//
+// Tokens that were leased to a process that ended may have been used. Where one gateway
+// keeps an account's tokens for all, a part of the tolerance replaces them: capacity and
+// rate are smaller by it, so that the bound holds with these credits.
 package bhquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,8 +34,17 @@
 // than 3 s without the store.
 const leaseDuration = 5400 * time.Millisecond
 
-// toleranceReserve is the share of the tolerated excess that stays unused.
-const toleranceReserve = 0.2
+const (
+	// toleranceReserve is the share of the tolerated excess that stays unused.
+	toleranceReserve = 0.2
+	// creditTolerance is the share of Tolerance.Over that replaces tokens that were lost
+	// with leases, in fleets in which one gateway keeps an account's tokens.
+	creditTolerance = 0.6
+	// creditPeriod is the period within which credits add up to at most
+	// rateLimit.credit. It exceeds the window that the tolerance is for, and the time for
+	// which leases of a larger capacity may last.
+	creditPeriod = 2 * leaseDuration
+)
 
 // maxLeasedRateShare is the share of an account's rate that may be leased to
 // gateways. The rest refills the bucket itself, for gateways without a leased
@@ -69,6 +83,18 @@
 	UpdatedAt time.Duration `cbor:"2,keyasint"`
 	// Leases are keyed by holder.
 	Leases map[string]lease `cbor:"3,keyasint"`
+	// Credits replaced lost tokens within the last creditPeriod.
+	Credits []credit `cbor:"4,keyasint,omitempty"`
+	// ReservedSince is since when all writes have left creditTolerance unused, by the
+	// store's clock; zero if the last one didn't.
+	ReservedSince time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// credit is a number of tokens that replaced lost ones, which may have been used.
+type credit struct {
+	// At is of the store's clock.
+	At     time.Duration `cbor:"1,keyasint"`
+	Tokens float64       `cbor:"2,keyasint"`
 }
 
 // decodeSharedBucket decodes a stored record. An empty value gives a bucket that
@@ -91,17 +117,27 @@
 	// rate is in tokens per second, capacity in tokens.
 	rate     float64
 	capacity float64
+	// credit is the most tokens in a creditPeriod that may replace lost ones.
+	credit float64
 }
 
 // effectiveLimit returns the account's rate and burst plus the tolerance, of which
-// the share toleranceReserve is left out. It is zero for an account that no longer
-// exists.
-func effectiveLimit(account *bhpolicy.Account, tolerance Tolerance) rateLimit {
+// the share toleranceReserve is left out, and creditTolerance kept for credits if
+// reserved is set. It is zero for an account that no longer exists.
+func effectiveLimit(account *bhpolicy.Account, tolerance Tolerance, reserved bool) rateLimit {
 	if account == nil {
 		return rateLimit{}
 	}
-	factor := 1 + (1-toleranceReserve)*tolerance.Over
-	return rateLimit{rate: account.Rate * factor, capacity: account.Burst*factor + (1-toleranceReserve)*tolerance.Slack}
+	share, credits := 1-toleranceReserve, 0.0
+	if reserved {
+		share, credits = share-creditTolerance, creditTolerance
+	}
+	factor := 1 + share*tolerance.Over
+	return rateLimit{
+		rate:     account.Rate * factor,
+		capacity: account.Burst*factor + (1-toleranceReserve)*tolerance.Slack,
+		credit:   credits * tolerance.Over * (account.Rate*min(tolerance.Window, creditPeriod).Seconds() + account.Burst),
+	}
 }
 
 // sharedReserve returns how many tokens aren't prefetched but left for gateways
@@ -153,6 +189,41 @@
 	return lost
 }
 
+// reserve records whether a write leaves creditTolerance unused.
+func (b *sharedBucket) reserve(reserved bool, now time.Duration) {
+	switch {
+	case !reserved:
+		b.ReservedSince = 0
+	case b.ReservedSince == 0:
+		b.ReservedSince = now
+	}
+}
+
+// credited returns the credits of the last creditPeriod, and drops older ones.
+func (b *sharedBucket) credited(now time.Duration) float64 {
+	b.Credits = slices.DeleteFunc(b.Credits, func(c credit) bool { return now-c.At >= creditPeriod })
+	total := 0.0
+	for _, c := range b.Credits {
+		total += c.Tokens
+	}
+	return total
+}
+
+// replaceLost returns lost tokens to the bucket, as far as the tolerance allows for
+// their having been used. That is unknown until all writes of a creditPeriod have left
+// the tolerance for it.
+func (b *sharedBucket) replaceLost(lost float64, limit rateLimit, now time.Duration) {
+	tokens := min(lost, limit.credit-b.credited(now))
+	if tokens <= 0 || b.ReservedSince == 0 || now-b.ReservedSince < creditPeriod {
+		return
+	}
+	_, held := b.leasedByOthers("")
+	if tokens = min(tokens, limit.capacity-held-b.Level); tokens > 0 {
+		b.Level += tokens
+		b.Credits = append(b.Credits, credit{At: now, Tokens: tokens})
+	}
+}
+
 // leasedByOthers returns the sums of the leased rates and of maxTokens over all
 // leases but the holder's.
 func (b *sharedBucket) leasedByOthers(holder string) (rate, tokens float64) {
