Rates: credits go to requests that wait while the bucket is empty

Cause: QUOTA counts whole windows, so what the tolerance allows may serve a jump as well as replace lost tokens. Change: a keeper whose bucket is empty takes the credit of the window for the requests that wait.

--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -61,8 +61,8 @@
 	Over float64
 	// Slack is a number of requests that may pass in addition.
 	Slack float64
-	// Window is the length of the windows. The bound holds in those of other lengths too,
-	// but a part of what Over allows in them isn't used if Window is unknown, zero.
+	// Window is the length of the windows; zero if the bound has to hold in windows of any
+	// length.
 	Window time.Duration
 }
 
--- a/bhquota/proposal.go
+++ b/bhquota/proposal.go
@@ -36,7 +36,8 @@
 // the new lease lacks are taken out of the local bucket at once.
 func (s *syncer) proposeLease(b *sharedBucket, storeTime time.Duration, release bool) proposal {
 	order := orderFor(s.config.Peers, s.account)
-	reserved := order.central || b.credited(storeTime) > 0
+	// Credits are due to the smaller limit, whatever this gateway takes the fleet for.
+	reserved := order.central || len(b.Credits) > 0 && storeTime-b.Credits[len(b.Credits)-1].At < creditDelay
 	var limit rateLimit
 	if index := s.config.Index(); index != nil {
 		limit = effectiveLimit(index.AccountNamed(s.account), s.config.Tolerance(), reserved)
@@ -44,7 +45,6 @@
 	lost := b.advance(limit, storeTime)
 	lost += b.dropEarlierProcessLeases(s.config.Holder)
 	b.reserve(reserved, storeTime)
-	b.replaceLost(lost, limit, storeTime)
 	s.contenders = max(1, len(b.Leases))
 	s.serial++
 	s.mu.Lock()
@@ -65,6 +65,9 @@
 		target = leaseTarget{}
 	}
 	s.lastObserved.Store(&observation{observedAt: s.config.Clock.Now(), level: b.Level, contenders: s.contenders, version: s.snapshot.version})
+	if missing := target.waiting - remaining - b.Level; reserved && missing > 0 {
+		b.addCredit(s.config.Holder, missing, remaining, limit, storeTime)
+	}
 	newLease := b.updateLease(s.config.Holder, limit, remaining, target)
 	newLease.ExpiresAt, newLease.Serial = storeTime+leaseDuration, s.serial
 	b.Leases[s.config.Holder] = newLease
--- a/bhquota/shared_bucket.go
+++ b/bhquota/shared_bucket.go
@@ -12,9 +12,10 @@
 // equals the account's rate. So in any window of length w at most
 // capacity + rate x w requests pass, whether or not gateways fail.
 //
-// Tokens that were leased to a process that ended may have been used. Where one gateway
-// keeps an account's tokens for all, a part of the tolerance replaces them: capacity and
-// rate are smaller by it, so that the bound holds with these credits.
+// Where one gateway keeps an account's tokens for all, a part of the tolerance is kept as
+// a credit for each window, for requests that wait while the bucket is empty, as it may be
+// because what a process held that ended may have been used. Capacity and rate are smaller
+// by it, so that the bound holds with the credits.
 package bhquota
 
 import (
@@ -37,13 +38,15 @@
 const (
 	// toleranceReserve is the share of the tolerated excess that stays unused.
 	toleranceReserve = 0.2
-	// creditTolerance is the share of Tolerance.Over that replaces tokens that were lost
-	// with leases, in fleets in which one gateway keeps an account's tokens.
+	// creditTolerance is the share of Tolerance.Over that is given to requests that wait
+	// while the bucket is empty, in fleets in which one gateway keeps an account's tokens.
 	creditTolerance = 0.6
-	// creditPeriod is the period within which credits add up to at most
-	// rateLimit.credit. It exceeds the window that the tolerance is for, and the time for
-	// which leases of a larger capacity may last.
-	creditPeriod = 2 * leaseDuration
+	// creditMargin is the time by which a credit counts longer than the window that the
+	// tolerance is for. It covers the time from a write to the use of its tokens.
+	creditMargin = 500 * time.Millisecond
+	// creditDelay is the time for which leases of a larger capacity may last, and the
+	// windows in which their tokens were used.
+	creditDelay = 2 * leaseDuration
 )
 
 // maxLeasedRateShare is the share of an account's rate that may be leased to
@@ -83,14 +86,14 @@
 	UpdatedAt time.Duration `cbor:"2,keyasint"`
 	// Leases are keyed by holder.
 	Leases map[string]lease `cbor:"3,keyasint"`
-	// Credits replaced lost tokens within the last creditPeriod.
+	// Credits were given within the last window, beyond what the bucket had.
 	Credits []credit `cbor:"4,keyasint,omitempty"`
 	// ReservedSince is since when all writes have left creditTolerance unused, by the
 	// store's clock; zero if the last one didn't.
 	ReservedSince time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
-// credit is a number of tokens that replaced lost ones, which may have been used.
+// credit is a number of tokens beyond those that accrue.
 type credit struct {
 	// At is of the store's clock.
 	At     time.Duration `cbor:"1,keyasint"`
@@ -117,8 +120,9 @@
 	// rate is in tokens per second, capacity in tokens.
 	rate     float64
 	capacity float64
-	// credit is the most tokens in a creditPeriod that may replace lost ones.
-	credit float64
+	// credit is the most tokens beyond those that accrue, in each creditPeriod.
+	credit       float64
+	creditPeriod time.Duration
 }
 
 // effectiveLimit returns the account's rate and burst plus the tolerance, of which
@@ -129,14 +133,15 @@
 		return rateLimit{}
 	}
 	share, credits := 1-toleranceReserve, 0.0
-	if reserved {
+	if reserved && tolerance.Window > 0 {
 		share, credits = share-creditTolerance, creditTolerance
 	}
 	factor := 1 + share*tolerance.Over
 	return rateLimit{
-		rate:     account.Rate * factor,
-		capacity: account.Burst*factor + (1-toleranceReserve)*tolerance.Slack,
-		credit:   credits * tolerance.Over * (account.Rate*min(tolerance.Window, creditPeriod).Seconds() + account.Burst),
+		rate:         account.Rate * factor,
+		capacity:     account.Burst*factor + (1-toleranceReserve)*tolerance.Slack,
+		credit:       credits * tolerance.Over * (account.Rate*tolerance.Window.Seconds() + account.Burst),
+		creditPeriod: tolerance.Window + creditMargin,
 	}
 }
 
@@ -199,9 +204,9 @@
 	}
 }
 
-// credited returns the credits of the last creditPeriod, and drops older ones.
-func (b *sharedBucket) credited(now time.Duration) float64 {
-	b.Credits = slices.DeleteFunc(b.Credits, func(c credit) bool { return now-c.At >= creditPeriod })
+// credited returns the credits that count still, and drops older ones.
+func (b *sharedBucket) credited(period, now time.Duration) float64 {
+	b.Credits = slices.DeleteFunc(b.Credits, func(c credit) bool { return now-c.At >= period })
 	total := 0.0
 	for _, c := range b.Credits {
 		total += c.Tokens
@@ -209,19 +214,17 @@
 	return total
 }
 
-// replaceLost returns lost tokens to the bucket, as far as the tolerance allows for
-// their having been used. That is unknown until all writes of a creditPeriod have left
-// the tolerance for it.
-func (b *sharedBucket) replaceLost(lost float64, limit rateLimit, now time.Duration) {
-	tokens := min(lost, limit.credit-b.credited(now))
-	if tokens <= 0 || b.ReservedSince == 0 || now-b.ReservedSince < creditPeriod {
+// addCredit adds up to the given number of tokens to the bucket, as far as the tolerance
+// of the window allows and what the holder has left, remaining tokens, leaves room for.
+// None are added until all writes of a creditDelay have left the tolerance for it.
+func (b *sharedBucket) addCredit(holder string, tokens, remaining float64, limit rateLimit, now time.Duration) {
+	_, otherTokens := b.leasedByOthers(holder)
+	tokens = min(tokens, limit.credit-b.credited(limit.creditPeriod, now), limit.capacity-otherTokens-remaining-b.Level)
+	if tokens <= 0 || b.ReservedSince == 0 || now-b.ReservedSince < creditDelay {
 		return
 	}
-	_, held := b.leasedByOthers("")
-	if tokens = min(tokens, limit.capacity-held-b.Level); tokens > 0 {
-		b.Level += tokens
-		b.Credits = append(b.Credits, credit{At: now, Tokens: tokens})
-	}
+	b.Level += tokens
+	b.Credits = append(b.Credits, credit{At: now, Tokens: tokens})
 }
 
 // leasedByOthers returns the sums of the leased rates and of maxTokens over all
