--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -192,7 +192,7 @@
 }
 
 func newHost(file *bhhost.File, interval time.Duration, metrics *bhmetric.Metrics, logger bhlog.Logger) *hosted {
-	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }})
+	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }, Scope: metrics.Scope})
 	clock := bhclock.Boot{}
 	return &hosted{
 		file:    file,
--- a/bhquota/peers.go
+++ b/bhquota/peers.go
@@ -75,6 +75,9 @@
 		bhlog.Problem(p.Logger, "draw.invalid", err, "peer", peer, "account", draw.Account)
 		return bhwire.Drawn{}, false
 	}
+	if drawn.Granted && drawn.Tokens == 0 {
+		drawn.Tokens = 1 // from a gateway that lends one at a time
+	}
 	return drawn, true
 }
 
@@ -99,12 +102,13 @@
 	if index == nil || index.AccountNamed(draw.Account) == nil {
 		return bhwire.Drawn{}
 	}
-	draw.Count, draw.Refused = min(max(0, draw.Count), maxDrawCount), min(max(0, draw.Refused), maxDrawCount)
+	draw.Count, draw.Refused = min(max(1, draw.Count), maxDrawCount), min(max(0, draw.Refused), maxDrawCount)
 	l.mu.Lock()
 	s := l.syncers[draw.Account]
 	l.mu.Unlock()
 	if s != nil {
 		drawn := s.lend(draw)
+		drawn.Granted = drawn.Tokens > 0
 		l.lent.Inc(int64(drawn.Tokens))
 		return drawn
 	}
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -21,7 +21,7 @@
 	// Name of the account.
 	Account string `json:"account"`
 
-	// Requests that wait for a token.
+	// Requests that wait for a token; gateways that don't know it ask for one.
 	Count int `json:"count"`
 
 	// Requests that the asker has refused since its last draw.
@@ -30,6 +30,10 @@
 
 // Drawn answers a draw.
 type Drawn struct {
+	// Whether the asker may use a token, at once. Gateways that don't know tokens use
+	// one.
+	Granted bool `json:"granted"`
+
 	// Whether the account has used up its tokens at all gateways.
 	Over bool `json:"over"`
 
