--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/platform"
@@ -42,6 +43,9 @@
 	// memoryShare is the part of the memory limit that the heap may take before
 	// the collector runs more often; the rest is for stacks and socket buffers.
 	memoryShare = 0.7
+	// heldPart is the part of the memory limit, as its inverse, that a gateway may hold
+	// for its clients.
+	heldPart = 4
 	// gatewayPolls and runnerPolls are the polls of the configuration and of the
 	// upstreams within the time in which a change must be in force. A runner hears
 	// from its engine itself that it is draining.
@@ -233,6 +237,15 @@
 	}
 }
 
+// clientBudget returns the budget of what a gateway holds for its clients, or nil if the
+// settings don't limit its memory.
+func clientBudget(settings bhhost.Settings) *bhspool.Budget {
+	if settings.Memory <= 0 {
+		return nil
+	}
+	return bhspool.New(bhspool.Config{Total: settings.Memory / heldPart})
+}
+
 // gateway adds the parts of a gateway to the tree.
 func (h *hosted) gateway(tree *bhtree.Tree) {
 	settings := h.file.Current()
@@ -277,6 +290,7 @@
 		Crashes:     h.crashes,
 		Limits:      limits,
 		Admission:   h.admission,
+		Budget:      clientBudget(settings),
 		EngineLoads: &bhgate.PeerEngineLoads{Socket: socket, Logger: h.logger},
 		Pool:        h.pool,
 		Clock:       h.clock,
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -153,12 +154,13 @@
 // head of the answer. On a reused connection it skips answers to earlier requests.
 func (p *Pool) roundTrip(c *conn, request *Request, rested time.Duration) (*Answer, error) {
 	writeErr := make(chan error, 1)
-	data := encodeRequest(request)
+	head := encodeHead(request)
 	send := func() {
-		_, err := c.Write(data)
+		data := net.Buffers{head, request.Body}
+		_, err := data.WriteTo(c.Conn)
 		writeErr <- err
 	}
-	if len(data) <= maxInlineWrite {
+	if len(head)+len(request.Body) <= maxInlineWrite {
 		send()
 	} else {
 		go send() // the upstream may answer before it has read the whole request
@@ -257,10 +259,10 @@
 	}
 }
 
-// encodeRequest returns the request in HTTP/1.1 wire format.
-func encodeRequest(request *Request) []byte {
+// encodeHead returns the request without its body in HTTP/1.1 wire format.
+func encodeHead(request *Request) []byte {
 	var buffer bytes.Buffer
-	buffer.Grow(512 + len(request.Body))
+	buffer.Grow(512)
 	writeLine := func(parts ...string) {
 		for _, part := range parts {
 			buffer.WriteString(part)
@@ -278,7 +280,6 @@
 		writeLine("Content-Length: ", strconv.Itoa(len(request.Body)))
 	}
 	writeLine()
-	buffer.Write(request.Body)
 	return buffer.Bytes()
 }
 
--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -68,7 +68,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	var local, remote, backingOff []bhwatch.Instance
+	local, remote := make([]bhwatch.Instance, 0, len(instances)), make([]bhwatch.Instance, 0, len(instances))
+	var backingOff []bhwatch.Instance
 	for _, instance := range instances {
 		switch {
 		case !b.usable(instance, excluded, now):
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -18,6 +18,7 @@
 	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -95,8 +96,12 @@
 	engineWatch *engineWatch
 	// firstEventAt is when the first event of a stream was relayed.
 	firstEventAt time.Time
-	status       int
-	bytes        int64
+	// bodyHolding is what is held for the request's body; nil before it is read.
+	bodyHolding *bhspool.Holding
+	// out is what is held of the answer; nil before its head is sent.
+	out    *outbox
+	status int
+	bytes  int64
 }
 
 func newCall(gate *Gate, w http.ResponseWriter, r *http.Request) *call {
@@ -214,11 +219,15 @@
 	if c.r.ContentLength > limit {
 		return bhcode.New(bhcode.TooLarge, "the body has %d bytes of at most %d", c.r.ContentLength, limit)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	body, err := c.readHeld(limit)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
 		return bhcode.New(bhcode.TooLarge, "the body is longer than %d bytes", limit)
+	case bhcode.Is(err, bhcode.Overloaded):
+		return err
+	case isTimeout(err): // it cancels the request's context, too
+		return bhcode.Wrap(err, bhcode.QueueTimeout, "the body did not arrive in time")
 	case c.r.Context().Err() != nil:
 		return errClientGone
 	case err != nil:
@@ -315,6 +324,7 @@
 	if failure, ok := reason.(error); !ok || !errors.Is(failure, http.ErrAbortHandler) {
 		bhlog.Problem(c.gate.config.Logger, "request.panic", errors.Errorf("%+v", reason), "request", c.id)
 	}
+	_ = c.endAnswer(errClientGone)
 	bhserve.Abort(c.w, c.r)
 }
 
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -337,35 +337,35 @@
 // whether another upstream may be tried.
 func (c *call) relay(current *attempt) (bool, error) {
 	answer := current.answer
-	head, err := io.ReadAll(io.LimitReader(answer.Body, bufferLimit))
+	limit := c.bufferLimit(answer)
+	head, err := io.ReadAll(io.LimitReader(answer.Body, limit))
 	if err != nil {
 		err = bhcode.Wrap(err, bhcode.AnswerIncomplete, "answer of upstream "+current.instance.ID).WithRan(bhcode.RanYes)
 		current.broke(err)
 		return c.retryable(err), err
 	}
 	length := answer.Length
-	if len(head) < bufferLimit {
+	if int64(len(head)) < limit {
 		length = int64(len(head))
 	}
 	c.writeHead(answer, length)
-	if err := c.write(head); err != nil {
+	if err := c.outbox().write(head); err != nil {
 		return false, err
 	}
-	if len(head) < bufferLimit {
+	if int64(len(head)) < limit {
 		return false, nil
 	}
 	return false, c.relayRest(current)
 }
 
-// relayRest sends the client the part of a large answer after the first
-// bufferLimit bytes.
+// relayRest sends the client the part of a large answer after what was buffered.
 func (c *call) relayRest(current *attempt) error {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := current.answer.Body.Read(buffer)
 		current.timer.reset()
 		if n > 0 {
-			if err := c.write(buffer[:n]); err != nil {
+			if err := c.outbox().push(buffer[:n]); err != nil {
 				return err
 			}
 		}
@@ -401,14 +401,3 @@
 
 // markHeadSent records that the head of an answer is sent to the client.
 func (c *call) markHeadSent() { c.headSent, c.headDelay = true, time.Since(c.arrived) }
-
-// write sends the client a part of the answer's body. Its only error is
-// errClientGone.
-func (c *call) write(data []byte) error {
-	n, err := c.w.Write(data)
-	c.bytes += int64(n)
-	if err != nil {
-		return errClientGone
-	}
-	return nil
-}
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -21,6 +21,7 @@
 	"github.com/baobabhaven/baobabhaven/bhorigin"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -33,6 +34,9 @@
 	// can't reach the platform stops being ready. With an older policy it isn't
 	// expected to serve.
 	readyShare = 0.6
+	// defaultBudget is what a gateway without a limit of its memory holds for its clients,
+	// in bytes.
+	defaultBudget = 64 << 20
 )
 
 // Policies provides the current policy and the list of upstreams.
@@ -78,10 +82,13 @@
 	// Admission decides whether a request may wait for a full engine. If it is nil,
 	// requests wait up to their latency objective.
 	Admission bhadmit.Decider
-	Pool      *bhforward.Pool
-	Clock     bhclock.Clock
-	Logger    bhlog.Logger
-	Scope     tally.Scope
+	// Budget bounds what the gateway holds for its clients. If it is nil, that is
+	// defaultBudget bytes.
+	Budget *bhspool.Budget
+	Pool   *bhforward.Pool
+	Clock  bhclock.Clock
+	Logger bhlog.Logger
+	Scope  tally.Scope
 	// Revocation returns the revocation time: the age at which a policy no longer
 	// proves that a key is valid.
 	Revocation func() time.Duration
@@ -111,6 +118,9 @@
 	if config.Crashes == nil {
 		config.Crashes = bhevidence.New(bhevidence.Config{Refuses: config.Pool.Refuses, Logger: config.Logger, Scope: config.Scope})
 	}
+	if config.Budget == nil {
+		config.Budget = bhspool.New(bhspool.Config{Total: defaultBudget})
+	}
 	return &Gate{config: config, metrics: newMetrics(config.Scope), times: newServiceTimes(), draining: make(chan struct{})}
 }
 
@@ -171,5 +181,5 @@
 	defer g.inflight.Done()
 	c := newCall(g, w, r)
 	defer c.recover()
-	c.finish(c.serve())
+	c.finish(c.endAnswer(c.serve()))
 }
--- /dev/null
+++ b/bhgate/hold.go
@@ -0,0 +1,114 @@
+package bhgate
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhspool"
+)
+
+// bodyPiece is by how many bytes what is held for a body of unknown length grows.
+const bodyPiece = 32 << 10
+
+// outbox returns the call's outbox, which it creates for the first part of the answer.
+func (c *call) outbox() *outbox {
+	if c.out == nil {
+		c.out = newOutbox(c.w, c.gate.config.Budget)
+	}
+	return c.out
+}
+
+// endAnswer waits until the client has read what the call wrote of an answer, or drops
+// the rest if err says that the client is gone. It returns the error of the call. What is
+// held for the call is freed.
+func (c *call) endAnswer(err error) error {
+	if c.bodyHolding != nil {
+		c.bodyHolding.Close()
+	}
+	if c.out == nil {
+		return err
+	}
+	failure := c.out.close(isReaderError(err))
+	c.bytes = c.out.progress()
+	c.gate.metrics.observeBudget(c.gate.config.Budget.Usage())
+	if err == nil {
+		return failure
+	}
+	return err
+}
+
+// bufferLimit returns how much of the answer may be read before any of it is sent: less
+// than bufferLimit if the gateway already holds too much for its clients.
+func (c *call) bufferLimit(answer *bhforward.Answer) int64 {
+	limit := int64(bufferLimit)
+	if answer.Length >= 0 {
+		limit = min(limit, answer.Length+1) // one more, so that its end is seen
+	}
+	if c.gate.config.Budget.Full(limit) {
+		return min(limit, bhspool.Guaranteed)
+	}
+	return limit
+}
+
+// readHeld reads the request's body, of limit bytes at most, as far as the gateway may
+// hold it. It returns an Overloaded error if not, and a timeout once the call's deadline
+// has passed.
+func (c *call) readHeld(limit int64) ([]byte, error) {
+	if c.r.ContentLength == 0 {
+		return nil, nil
+	}
+	controller := http.NewResponseController(c.w)
+	_ = controller.SetReadDeadline(c.deadline)
+	c.bodyHolding = c.gate.config.Budget.Open(func() {}) // bodies don't yield
+	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if err == nil { // otherwise the server would wait for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
+	}
+	return body, err
+}
+
+// readAll reads the source to its end.
+func (c *call) readAll(source io.Reader) ([]byte, error) {
+	if c.r.ContentLength >= 0 {
+		if err := c.holdBody(c.r.ContentLength); err != nil {
+			return nil, err
+		}
+		body := make([]byte, c.r.ContentLength)
+		_, err := io.ReadFull(source, body)
+		return body, err
+	}
+	var body []byte
+	for {
+		if err := c.holdBody(bodyPiece); err != nil {
+			return nil, err
+		}
+		piece := make([]byte, bodyPiece)
+		n, err := io.ReadFull(source, piece)
+		body = append(body, piece[:n]...)
+		switch {
+		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+	}
+}
+
+// holdBody takes the bytes for the request's body from the budget.
+func (c *call) holdBody(bytes int64) error {
+	if c.bodyHolding.Grow(bytes) == bhspool.Granted {
+		return nil
+	}
+	return bhcode.New(bhcode.Overloaded, "the gateway holds too much for its clients to take a body of %d bytes more", bytes).WithRetryAfter(unavailableRetryAfter)
+}
+
+// isTimeout reports whether err is that of a connection whose deadline passed.
+func isTimeout(err error) bool {
+	var timeout interface{ Timeout() bool }
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
--- a/bhgate/jobs.go
+++ b/bhgate/jobs.go
@@ -197,5 +197,5 @@
 	c.status = status
 	c.markHeadSent()
 	c.w.WriteHeader(status)
-	return c.write(body)
+	return c.outbox().write(body)
 }
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -7,13 +7,16 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 )
 
 // metrics are a gate's counters and histograms.
 type metrics struct {
 	served      tally.Counter
 	clientsGone tally.Counter
-	sends       tally.Counter
+	// stalled counts the answers that broke off because their client read too slowly.
+	stalled tally.Counter
+	sends   tally.Counter
 	// notAdmitted counts requests refused because all engines asked were full.
 	notAdmitted tally.Counter
 	// limited counts requests refused because of the limits that upstreams name.
@@ -28,7 +31,12 @@
 	reused    tally.Counter
 	forgotten tally.Counter
 	duration  tally.Histogram
-	failures  map[bhcode.Code]tally.Counter
+	// held is what the gateway holds for its clients, in bytes; heldDenied and heldYielded
+	// follow the counts of the budget.
+	held        tally.Gauge
+	heldDenied  tally.Gauge
+	heldYielded tally.Gauge
+	failures    map[bhcode.Code]tally.Counter
 }
 
 func newMetrics(scope tally.Scope) metrics {
@@ -39,6 +47,10 @@
 	return metrics{
 		served:        scope.Counter("gate_served"),
 		clientsGone:   scope.Counter("gate_clients_left"),
+		stalled:       scope.Counter("gate_readers_stalled"),
+		held:          scope.Gauge("gate_held_bytes"),
+		heldDenied:    scope.Gauge("gate_held_denied"),
+		heldYielded:   scope.Gauge("gate_held_yielded"),
 		sends:         scope.Counter("gate_sends"),
 		notAdmitted:   scope.Counter("gate_not_admitted"),
 		limited:       scope.Counter("gate_limited"),
@@ -61,9 +73,18 @@
 		m.served.Inc(1)
 	case errors.Is(err, errClientGone):
 		m.clientsGone.Inc(1)
+	case errors.Is(err, errReaderStalled):
+		m.stalled.Inc(1)
 	default:
 		if counter, ok := m.failures[bhcode.From(err).Code]; ok {
 			counter.Inc(1)
 		}
 	}
 }
+
+// observeBudget reports what the gateway holds for its clients.
+func (m *metrics) observeBudget(usage bhspool.Usage) {
+	m.held.Update(float64(usage.Bytes))
+	m.heldDenied.Update(float64(usage.Denied))
+	m.heldYielded.Update(float64(usage.Yielded))
+}
--- /dev/null
+++ b/bhgate/outbox_test.go
@@ -0,0 +1,145 @@
+package bhgate
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhspool"
+)
+
+// dialGate opens a connection to the gate whose client holds little, and sends a request
+// on it.
+func dialGate(t *testing.T, g *testGate, id string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	require.NoError(t, conn.(*net.TCPConn).SetReadBuffer(256<<10))
+	fmt.Fprintf(conn, "POST /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: %s\r\nAuthorization: Key k1\r\nDeadline: 20000\r\nContent-Length: 0\r\n\r\n", id)
+	return conn
+}
+
+// streamed is an upstream's stream of events of size bytes, after which done counts.
+func streamed(size int, done *atomic.Int32) func(http.ResponseWriter, *http.Request, int) {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		event := "data: " + strings.Repeat("x", 8000) + "\n\n"
+		for i := 0; i*len(event) < size; i++ {
+			fmt.Fprintf(w, "id: %d\n%s", i+1, event)
+		}
+		_ = http.NewResponseController(w).Flush()
+		done.Add(1)
+	}
+}
+
+// bounded limits what the gate holds for clients.
+func (g *testGate) bounded(total int64) {
+	g.gate.config.Budget = bhspool.New(bhspool.Config{Total: total})
+}
+
+// An upstream is read to its end although the client doesn't read, and the client gets
+// the whole answer when it does.
+func TestUpstreamIsReadOnForSlowReader(t *testing.T) {
+	var done atomic.Int32
+	size := 12 << 20
+	upstream := newUpstream(t, streamed(size, &done))
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, upstream)
+	g.bounded(64 << 20)
+	conn := dialGate(t, g, "r1")
+	require.Eventually(t, func() bool { return done.Load() == 1 }, 5*time.Second, time.Millisecond, "the upstream has sent all")
+	require.Eventually(t, func() bool { return g.gate.config.Budget.Usage().Bytes > 0 }, time.Second, time.Millisecond, "some is held")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Greater(t, len(body), size)
+	assert.True(t, bytes.HasSuffix(body, []byte("\n\n")))
+	require.Eventually(t, func() bool { return g.gate.config.Budget.Usage().Bytes == 0 }, time.Second, time.Millisecond)
+	assert.Equal(t, 1, upstream.count())
+}
+
+// What gives way to others breaks off visibly, and the memory is free at once.
+func TestYieldedAnswerIsVisiblyBroken(t *testing.T) {
+	var done atomic.Int32
+	upstream := newUpstream(t, streamed(40<<20, &done))
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, upstream)
+	g.bounded(4 << 20)
+	conn := dialGate(t, g, "r1")
+	budget := g.gate.config.Budget
+	require.Eventually(t, func() bool { return budget.Usage().Shared > 900<<10 }, 5*time.Second, time.Millisecond)
+	time.Sleep(2100 * time.Millisecond) // longer than a holding is safe that makes no progress
+	other := budget.Open(func() {})
+	require.Equal(t, bhspool.Granted, other.Grow(4<<20), "a body finds room")
+	require.Eventually(t, func() bool { return g.gate.Inflight() == 0 }, 5*time.Second, time.Millisecond)
+	assert.EqualValues(t, 1, budget.Usage().Yielded)
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.Error(t, err, "not as if it were complete")
+	assert.Equal(t, 1, upstream.count(), "no other upstream is tried for it")
+}
+
+func TestBodyThatCantBeHeldIsRefusedAtOnce(t *testing.T) {
+	upstream := newUpstream(t, func(w http.ResponseWriter, _ *http.Request, _ int) { fmt.Fprint(w, "ok") })
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, MaxAttempts: 2}, upstream)
+	g.bounded(1 << 20)
+	full := g.gate.config.Budget.Open(func() {})
+	require.Equal(t, bhspool.Granted, full.Grow(1<<20))
+	for name, change := range map[string]func(*http.Request){
+		"length": func(*http.Request) {},
+		"chunks": func(r *http.Request) { r.ContentLength = -1 },
+	} {
+		large := g.request("/a/x", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, 200<<10))), 200<<10
+		}, change)
+		startedAt := time.Now()
+		response, _, err := g.do(large)
+		require.NoError(t, err, name)
+		assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, name)
+		assert.NotEmpty(t, response.Header.Get("Retry-After"), name)
+		assert.Less(t, time.Since(startedAt), time.Second, name)
+	}
+	assert.Zero(t, upstream.count())
+	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")), "a small one is taken")
+	full.Close()
+	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(make([]byte, 200<<10))), 200<<10
+	})))
+}
+
+func TestBodyThatTricklesEndsAtTheDeadline(t *testing.T) {
+	upstream := newUpstream(t, func(w http.ResponseWriter, _ *http.Request, _ int) { fmt.Fprint(w, "ok") })
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, MaxAttempts: 2}, upstream)
+	conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	require.NoError(t, err)
+	defer conn.Close()
+	fmt.Fprint(conn, "POST /a/x HTTP/1.1\r\nHost: one.example\r\nRequest-Id: r1\r\nAuthorization: Key k1\r\nDeadline: 300\r\nContent-Length: 1000\r\n\r\n")
+	stop := time.AfterFunc(5*time.Second, func() { conn.Close() })
+	defer stop.Stop()
+	go func() {
+		for {
+			if _, err := conn.Write([]byte("x")); err != nil {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}()
+	startedAt := time.Now()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode, "it has not run")
+	assert.Less(t, time.Since(startedAt), 2*time.Second)
+	assert.Zero(t, upstream.count())
+}
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -33,6 +33,9 @@
 	// these fleets stay within both.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
+	// clientWriteBuffer bounds what the kernel holds for a client that doesn't read. By
+	// itself it would let that grow to some megabytes.
+	clientWriteBuffer = 128 << 10
 )
 
 // ServerConfig configures a Server.
@@ -151,6 +154,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if socket, ok := accepted.(*net.TCPConn); ok {
+		_ = socket.SetWriteBuffer(clientWriteBuffer)
+	}
 	return &idleConn{Conn: accepted, idleTimeout: l.idleTimeout}, nil
 }
 
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -23,7 +23,7 @@
 	if err == nil && !c.firstEventAt.IsZero() && c.choice.load.Slots > 0 && !full(c.choice.load) {
 		c.gate.times.observe(first.instance.Service, c.firstEventAt.Sub(first.sentAt), time.Since(first.sentAt))
 	}
-	if err == nil || err == errClientGone {
+	if err == nil || isReaderError(err) {
 		return err
 	}
 	excluded := map[string]bool{first.instance.ID: true}
@@ -75,7 +75,7 @@
 	}
 	progress.Resume()
 	err = c.relayEvents(resumed, progress)
-	return err != nil && err != errClientGone, err
+	return err != nil && !isReaderError(err), err
 }
 
 // relayEvents relays complete events until the stream ends. An incomplete event
@@ -113,11 +113,7 @@
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = time.Now()
 	}
-	if err := c.write(events); err != nil {
-		return err
-	}
-	c.flush()
-	return nil
+	return c.outbox().push(events)
 }
 
 func (c *call) flush() {
