--- a/bhforward/exchange_test.go
+++ b/bhforward/exchange_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -316,3 +317,35 @@
 		assert.Equal(t, c.want, got, c.value)
 	}
 }
+
+// The deadline of the request ends the wait for an upstream that doesn't read a large
+// body.
+func TestUnreadBodyEndsAtTheDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	request := newTestRequest("r")
+	request.Body = make([]byte, 64<<20)
+	startedAt := time.Now()
+	pool := NewPool()
+	defer pool.Close()
+	_, err = pool.Exchange(ctx, listener.Addr().String(), request)
+	require.Error(t, err)
+	assert.Equal(t, bhcode.RanUnknown, bhcode.From(err).Ran)
+	assert.Less(t, time.Since(startedAt), 2*time.Second)
+	conn := <-accepted
+	defer conn.Close()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	read, err := io.Copy(io.Discard, conn)
+	assert.Less(t, read, int64(64<<20), "the rest isn't sent")
+	var timeout net.Error
+	assert.False(t, errors.As(err, &timeout) && timeout.Timeout(), "the connection is closed")
+}
