--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -31,6 +31,9 @@
 	// these fleets stay within both.
 	headerTimeout = 10 * time.Second
 	headerBytes   = 64 << 10
+	// clientWriteBuffer bounds what the kernel holds for a client that doesn't read. By
+	// itself it would let that grow to some megabytes.
+	clientWriteBuffer = 128 << 10
 )
 
 // ServerConfig configures a Server.
@@ -83,7 +86,7 @@
 		return nil // ctx ended before both addresses could be listened on
 	}
 	failed := make(chan error, 2)
-	callers := bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: front, IdleTimeout: s.idleTimeout})
+	callers := bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: front, IdleTimeout: s.idleTimeout, WriteBuffer: clientWriteBuffer})
 	go func() { failed <- s.front.Serve(callers) }()
 	go func() { failed <- s.ready.Serve(ready) }()
 	bhlog.Event(s.config.Logger, "gate.serving", "front", s.config.Front, "ready", s.config.Ready)
