Cold upstreams: the owner of an upstream's limits grants what it tolerates while cold

Now the ledger of limits has a second one while an upstream is cold, with any second within the settings' bound. Tokens of a limit are left for the recent demand of more urgent classes; items come after all live requests.

--- a/bhcap/ledger.go
+++ b/bhcap/ledger.go
@@ -2,11 +2,8 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sync"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 const (
@@ -14,6 +11,10 @@
 	// in which as many arrive at a higher limit.
 	leastBurst = 2
 	burstTime  = time.Second
+	// reserveTime is the time for which the recent demand of more urgent requests is reserved,
+	// leastDemand a demand in requests a second that is none.
+	reserveTime = time.Second
+	leastDemand = 1e-3
 	// maxWait is the wait that is told where none is due, as with a limit of 0.
 	maxWait = 5 * time.Second
 	// maxUpstreams bounds the upstreams that a ledger remembers, forgetAfter the time for
@@ -31,10 +32,12 @@
 	// LeastRate is granted in place of lower limits, so that an upstream whose limit is 0
 	// is asked at all and can end it. Zero if something else tells of the end.
 	LeastRate float64
+	// Cold is how far upstreams that are cold may get more requests than their rate.
+	Cold Tolerance
 }
 
-// Ledger holds the limits that upstreams named, and grants requests within them. It is safe
-// for concurrent use.
+// Ledger holds the limits that upstreams named or have while they are cold, and grants
+// requests within them. It is safe for concurrent use.
 type Ledger struct {
 	config Config
 
@@ -53,18 +56,21 @@
 	heardAt time.Time
 	sentAt  time.Time
 	usedAt  time.Time
-	// owned holds the tokens that this process grants as the owner, share those of its
-	// share without the owner; each is nil before its first use.
-	owned *rate.Limiter
-	share *rate.Limiter
+	cold    Cold
+	// limit holds the tokens of the limit that the upstream names, warmUp those that it gets
+	// while it is cold.
+	limit  tokens
+	warmUp tokens
+	demand demand
 }
 
 // Decision says whether a request may be sent.
 type Decision struct {
 	Granted bool
-	// Named is false if the upstream names no limit, as far as known. Rate is the limit.
-	Named bool
-	Rate  float64
+	// Limited is false if nothing limits requests to the upstream, as far as known. Rate is
+	// the lowest limit.
+	Limited bool
+	Rate    float64
 	// Wait is the time until the next request may be granted.
 	Wait time.Duration
 }
@@ -92,7 +98,7 @@
 	case naming.At.Before(known.heardAt):
 	case naming.Named:
 		if !known.named {
-			known.owned, known.share = nil, nil // a new limit begins without a burst
+			known.limit = tokens{} // a new limit begins without a burst
 		}
 		known.named, known.rate, known.namedAt, known.heardAt, known.sentAt = true, naming.Rate, naming.At, naming.At, naming.SentAt
 	case naming.SentAt.After(known.namedAt):
@@ -129,89 +135,139 @@
 	return len(l.upstreams) < maxUpstreams
 }
 
-// Take takes the right to send one request to the upstream, as the owner of its limit.
-func (l *Ledger) Take(upstream Upstream, now time.Time) Decision {
+// ObserveCold adds that the upstream is cold. Of several reports the one binds by which it
+// is for longest.
+func (l *Ledger) ObserveCold(upstream Upstream, cold Cold, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if perSecond, ok := CheckRate(cold.Rate); !ok || perSecond == 0 || !now.Before(cold.Until) {
+		return
+	}
+	known := l.upstreams[upstream]
+	if known == nil {
+		if !l.makeRoom(now) {
+			return
+		}
+		known = &limited{usedAt: now}
+		l.upstreams[upstream] = known
+	}
+	if !now.Before(known.cold.Until) {
+		known.warmUp = tokens{}
+	}
+	if cold.Until.After(known.cold.Until) {
+		known.cold = cold
+	}
+}
+
+// Cold returns what is known of the upstream's being cold; it is empty if it is warm.
+func (l *Ledger) Cold(upstream Upstream, now time.Time) Cold {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if known := l.upstreams[upstream]; known != nil && now.Before(known.cold.Until) {
+		return known.cold
+	}
+	return Cold{}
+}
+
+// Take takes the right to send one request to the upstream, as the owner of its limits. What
+// more urgent requests take by their recent demand is left for them.
+func (l *Ledger) Take(upstream Upstream, class Class, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known, bucket := l.ownedBucket(upstream, now)
+	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	granted := bucket.AllowN(now, 1)
-	return Decision{Named: true, Rate: known.rate, Granted: granted, Wait: waitOf(bucket, now)}
+	known.demand.add(class, now)
+	decision := l.look(known, limits, class, now)
+	if decision.Granted {
+		for _, limit := range limits {
+			limit.ownedBucket(now).AllowN(now, 1)
+		}
+		decision = l.look(known, limits, class, now)
+		decision.Granted = true
+	}
+	return decision
 }
 
 // Look returns what Take would, without taking.
-func (l *Ledger) Look(upstream Upstream, now time.Time) Decision {
+func (l *Ledger) Look(upstream Upstream, class Class, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known, bucket := l.ownedBucket(upstream, now)
+	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	wait := waitOf(bucket, now)
-	return Decision{Named: true, Rate: known.rate, Granted: wait == 0, Wait: wait}
+	return l.look(known, limits, class, now)
+}
+
+// look decides on one request as the owner. The caller holds l.mu.
+func (l *Ledger) look(known *limited, limits []*tokens, class Class, now time.Time) Decision {
+	decision := Decision{Limited: true, Rate: known.lowest(now)}
+	wanted := known.demand.moreUrgent(class, now) * reserveTime.Seconds()
+	for _, limit := range limits {
+		bucket := limit.ownedBucket(now)
+		decision.Wait = max(decision.Wait, waitOf(bucket, min(wanted, float64(limit.burst-1)), now))
+	}
+	decision.Granted = decision.Wait == 0
+	return decision
 }
 
 // TakeShare takes the right to send one request while the owner can't be reached, which
-// counts as one of so many senders. Their shares add up to a part of the limit.
+// counts as one of so many senders. Their shares add up to a part of the limits.
 func (l *Ledger) TakeShare(upstream Upstream, senders int, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.named(upstream, now)
+	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	perSecond := rate.Limit(max(known.rate, l.config.LeastRate) * ownerless / float64(max(1, senders)))
-	if known.share == nil {
-		known.share = rate.NewLimiter(perSecond, 1)
-		// Senders that lose the owner at the same time don't get their first tokens together.
-		known.share.AllowN(now.Add(-time.Duration(rand.Float64()/max(float64(perSecond), 1e-3)*float64(time.Second))), 1)
+	decision := Decision{Limited: true, Granted: true, Rate: known.lowest(now)}
+	for _, limit := range limits {
+		wait := waitOf(limit.shareBucket(senders, now), 0, now)
+		decision.Wait, decision.Granted = max(decision.Wait, wait), decision.Granted && wait == 0
 	}
-	known.share.SetLimitAt(now, perSecond)
-	granted := known.share.AllowN(now, 1)
-	return Decision{Named: true, Rate: known.rate, Granted: granted, Wait: waitOf(known.share, now)}
-}
-
-// named returns what is known of the upstream, or nil if no limit is. The caller holds l.mu.
-func (l *Ledger) named(upstream Upstream, now time.Time) *limited {
-	known := l.upstreams[upstream]
-	if known == nil || !known.named {
-		return nil
+	for _, limit := range limits {
+		if decision.Granted {
+			limit.share.AllowN(now, 1)
+			decision.Wait = max(decision.Wait, waitOf(limit.share, 0, now))
+		}
 	}
-	known.usedAt = now
-	return known
+	return decision
 }
 
-// ownedBucket returns what is known of the upstream and the owner's bucket, which begins
-// empty: this process may have started anew. Both are nil if no limit is known. The caller
-// holds l.mu.
-func (l *Ledger) ownedBucket(upstream Upstream, now time.Time) (*limited, *rate.Limiter) {
-	known := l.named(upstream, now)
+// limits returns what is known of the upstream and the tokens of the limits that bind, or nil
+// if none does. The caller holds l.mu.
+func (l *Ledger) limits(upstream Upstream, now time.Time) (*limited, []*tokens) {
+	known := l.upstreams[upstream]
 	if known == nil {
 		return nil, nil
 	}
-	perSecond := rate.Limit(max(known.rate, l.config.LeastRate))
-	burst := int(math.Ceil(max(leastBurst, float64(perSecond)*burstTime.Seconds())))
-	if known.owned == nil {
-		known.owned = rate.NewLimiter(perSecond, burst)
-		known.owned.AllowN(now, burst)
+	var limits []*tokens
+	if known.named {
+		perSecond := max(known.rate, l.config.LeastRate)
+		known.limit.set(perSecond, int(math.Ceil(max(leastBurst, perSecond*burstTime.Seconds()))))
+		limits = append(limits, &known.limit)
+	}
+	if now.Before(known.cold.Until) {
+		known.warmUp.set(coldGrants(known.cold.Rate, l.config.Cold))
+		limits = append(limits, &known.warmUp)
 	}
-	if known.owned.Limit() != perSecond {
-		known.owned.SetLimitAt(now, perSecond)
-		known.owned.SetBurstAt(now, burst)
+	if len(limits) == 0 {
+		return nil, nil
 	}
-	return known, known.owned
+	known.usedAt = now
+	return known, limits
 }
 
-// waitOf returns the time until the bucket has a token.
-func waitOf(bucket *rate.Limiter, now time.Time) time.Duration {
-	missing := 1 - bucket.TokensAt(now)
-	switch {
-	case missing <= 0:
-		return 0
-	case bucket.Limit() <= 0:
-		return maxWait
+// lowest returns the lowest limit that binds.
+func (k *limited) lowest(now time.Time) float64 {
+	lowest := maxRate
+	if k.named {
+		lowest = k.rate
+	}
+	if now.Before(k.cold.Until) {
+		lowest = min(lowest, k.cold.Rate)
 	}
-	return min(maxWait, time.Duration(missing/float64(bucket.Limit())*float64(time.Second))+time.Millisecond)
+	return lowest
 }
--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -261,7 +261,7 @@
 	h.crashes = h.newCrashes(socket, directory)
 	h.crashes.RegisterHandlers(socket, true)
 	limits := bhpass.New(bhpass.Config{
-		Ledger: bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate}),
+		Ledger: bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate, Cold: coldTolerance(settings)}),
 		Peers:  bhpass.PeerFleet{Directory: directory, Socket: socket}, Logger: h.logger, Scope: h.metrics.Scope,
 	})
 	limits.RegisterHandlers(socket)
@@ -326,6 +326,10 @@
 	return bhpeer.NewSocket(bhpeer.Config{Address: h.file.Current().Peer, Logger: h.logger, Scope: h.metrics.Scope})
 }
 
+func coldTolerance(settings bhhost.Settings) bhcap.Tolerance {
+	return bhcap.Tolerance{Over: settings.ColdOver, Slack: settings.ColdSlack}
+}
+
 // newCrashes returns the registry of the requests that crash upstreams.
 func (h *hosted) newCrashes(socket *bhpeer.Socket, directory *bhpeer.Directory) *bhevidence.Registry {
 	return bhevidence.New(bhevidence.Config{
@@ -350,7 +354,8 @@
 	h.crashes = h.newCrashes(socket, directory)
 	h.crashes.RegisterHandlers(socket, false)
 	bhorigin.NewRegistry(bhorigin.Config{Clock: h.clock, Logger: h.logger, Scope: h.metrics.Scope}).RegisterHandlers(socket)
-	limits := bhcap.NewLedger(bhcap.Config{}) // the engine's reports tell when a limit of 0 ends
+	// The engine's reports tell when a limit of 0 ends.
+	limits := bhcap.NewLedger(bhcap.Config{Cold: coldTolerance(h.file.Current())})
 	bhpass.New(bhpass.Config{
 		Ledger: limits, Peers: bhpass.PeerFleet{Directory: directory, Socket: socket}, Runner: true, Logger: h.logger, Scope: h.metrics.Scope,
 	}).RegisterHandlers(socket)
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -28,6 +28,7 @@
 	balancer := c.gate.config.Balancer
 	instances := c.instances(service)
 	c.limitWait = 0
+	c.observeCold(service, instances, nil)
 	if !c.isEngine(service) {
 		instance, ok := c.pickWithinLimit(ctx, service, instances, excluded, nil)
 		if !ok {
@@ -37,14 +38,14 @@
 	}
 	c.choice = engineChoice{}
 	sample := balancer.Sample(instances, excluded, engineSampleSize)
-	loads := c.queryLoads(ctx, sample)
+	loads := c.queryLoads(ctx, service, sample)
 	candidates := sample
 	if !c.anyFree(sample, excluded, loads) {
-		candidates = c.widen(ctx, instances, sample, excluded, loads)
+		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
 	}
 	instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	if !ok && len(candidates) == len(sample) {
-		candidates = c.widen(ctx, instances, sample, excluded, loads)
+		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
 	if !ok {
@@ -78,21 +79,22 @@
 }
 
 // widen asks more engines for their loads, which it adds, and returns them with the sample.
-func (c *call) widen(ctx context.Context, instances, sample []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) []bhwatch.Instance {
+func (c *call) widen(ctx context.Context, service string, instances, sample []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) []bhwatch.Instance {
 	others := maps.Clone(excluded)
 	for _, asked := range sample {
 		others[asked.ID] = true
 	}
 	more := c.gate.config.Balancer.Sample(instances, others, widenedSampleSize)
-	maps.Copy(loads, c.queryLoads(ctx, more))
+	maps.Copy(loads, c.queryLoads(ctx, service, more))
 	return append(sample[:len(sample):len(sample)], more...)
 }
 
 // queryLoads asks the runners beside the instances for the loads of their engines.
-func (c *call) queryLoads(ctx context.Context, instances []bhwatch.Instance) map[netip.AddrPort]bhwire.Room {
+func (c *call) queryLoads(ctx context.Context, service string, instances []bhwatch.Instance) map[netip.AddrPort]bhwire.Room {
 	runners := runnerAddresses(instances)
 	loads := c.gate.config.EngineLoads.Query(ctx, runners)
 	c.observeLoads(instances, loads)
+	c.observeCold(service, instances, loads)
 	c.choice.asked += len(runners)
 	c.choice.answered += len(loads)
 	return loads
--- a/bhgate/limit.go
+++ b/bhgate/limit.go
@@ -10,6 +10,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -17,10 +18,14 @@
 // maxLimitAsks bounds the upstreams that are asked for in turn for one request.
 const maxLimitAsks = 4
 
-// Limits keeps the whole fleet to the limits that upstreams name.
+// Limits keeps the whole fleet to the limits that upstreams name, and to what they tolerate
+// while they are cold.
 type Limits interface {
-	// Take takes the right to send one request to the instance, which may be an engine.
-	Take(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision
+	// Take takes the right to send one request of the class to the instance, which may be an
+	// engine.
+	Take(ctx context.Context, instance bhwatch.Instance, engine bool, class bhcap.Class) bhcap.Decision
+	// ObserveCold adds that the instance, which may be an engine, is cold.
+	ObserveCold(instance bhwatch.Instance, engine bool, cold bhcap.Cold)
 	// Observe adds what an answer of the instance said about its limit.
 	Observe(instance bhwatch.Instance, engine bool, naming bhcap.Naming)
 }
@@ -29,8 +34,13 @@
 type ownLimits struct{ ledger *bhcap.Ledger }
 
 // Take implements Limits.
-func (l ownLimits) Take(_ context.Context, instance bhwatch.Instance, _ bool) bhcap.Decision {
-	return l.ledger.Take(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, time.Now())
+func (l ownLimits) Take(_ context.Context, instance bhwatch.Instance, _ bool, class bhcap.Class) bhcap.Decision {
+	return l.ledger.Take(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, class, time.Now())
+}
+
+// ObserveCold implements Limits.
+func (l ownLimits) ObserveCold(instance bhwatch.Instance, _ bool, cold bhcap.Cold) {
+	l.ledger.ObserveCold(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, cold, time.Now())
 }
 
 // Observe implements Limits.
@@ -48,13 +58,13 @@
 		}
 	}
 	allowed := withinLimits(instances, loads)
-	refused := maps.Clone(excluded)
+	refused, class := maps.Clone(excluded), bhcap.LiveClass(bhpolicy.PriorityOf(c.route, c.account))
 	for range maxLimitAsks {
 		instance, ok := c.gate.config.Balancer.Pick(allowed, refused, loads)
 		if !ok {
 			return instance, false
 		}
-		decision := c.gate.config.Limits.Take(ctx, instance, engine)
+		decision := c.gate.config.Limits.Take(ctx, instance, engine, class)
 		if decision.Granted {
 			return instance, true
 		}
@@ -65,6 +75,22 @@
 	return bhwatch.Instance{}, false
 }
 
+// observeCold adds which of the service's instances are cold: those whose records say so, or
+// the runners that told of their loads.
+func (c *call) observeCold(service string, instances []bhwatch.Instance, loads map[netip.AddrPort]bhwire.Room) {
+	known := c.view.Index.ServiceNamed(service)
+	if known == nil || known.ColdRate <= 0 {
+		return
+	}
+	now, clock := time.Now(), c.gate.config.Clock.Now()
+	for _, instance := range instances {
+		left := min(known.ColdTime, max(loads[instance.RunnerAddr].Cold, instance.ColdUntil-clock))
+		if left > 0 {
+			c.gate.config.Limits.ObserveCold(instance, c.isEngine(service), bhcap.Cold{Rate: known.ColdRate, Until: now.Add(left)})
+		}
+	}
+}
+
 // withinLimits returns the instances without those whose runner says that their limit allows
 // no request now.
 func withinLimits(instances []bhwatch.Instance, loads map[netip.AddrPort]bhwire.Room) []bhwatch.Instance {
--- a/bhgate/limit_test.go
+++ b/bhgate/limit_test.go
@@ -85,3 +85,25 @@
 		}
 	}
 }
+
+// TestColdUpstreamGetsWhatItTolerates guards against an upstream that gets more requests than it
+// tolerates while it is cold, and against requests that aren't sent elsewhere instead.
+func TestColdUpstreamGetsWhatItTolerates(t *testing.T) {
+	cold, warm := newUpstream(t, answerOK), newUpstream(t, answerOK)
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe}, cold, warm)
+	g.policies.update(func(p *fakePolicies) {
+		policy := *p.view.Index.Policy
+		policy.Services = []bhpolicy.Service{{Name: "s", ColdTime: time.Hour, ColdRate: 5}}
+		p.view.Index = bhpolicy.NewIndex(&policy)
+		p.view.Fleet["s"][0].Cold, p.view.Fleet["s"][0].ColdUntil = time.Minute, g.clock.Now()+time.Minute
+	})
+	g.gate.config.Balancer.upstream("i-1").inflight = 1000 // the cold one has much less to do
+	began := time.Now()
+	for attempt := range 60 {
+		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x", requestID("r", attempt))))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, float64(cold.count()), 5*time.Since(began).Seconds()+1)
+	assert.GreaterOrEqual(t, cold.count(), 3)
+	assert.Equal(t, 60, cold.count()+warm.count())
+}
--- a/bhjob/engine_test.go
+++ b/bhjob/engine_test.go
@@ -43,6 +43,8 @@
 	live, waiting int
 	// limit is what answers and reports name as the limit; empty if they name none.
 	limit string
+	// born is the engine's start in its reports.
+	born int64
 	// leaving and reportsLeaving say whether answers and reports state that the
 	// engine is leaving.
 	leaving, reportsLeaving bool
@@ -67,7 +69,7 @@
 func (e *fakeEngine) Report(context.Context, string) (LoadReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report := LoadReport{Running: e.running + e.live, Waiting: e.waiting, Leaving: e.reportsLeaving}
+	report := LoadReport{Running: e.running + e.live, Waiting: e.waiting, Born: e.born, Leaving: e.reportsLeaving}
 	if e.limit != "" {
 		report.Limit = []string{e.limit}
 	}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -51,6 +51,9 @@
 type LoadReport struct {
 	Running int
 	Waiting int
+	// Born is when the engine started, in milliseconds since the Unix epoch; zero if it
+	// doesn't say.
+	Born int64
 	// Leaving reports that the engine is leaving and must get no new requests.
 	Leaving bool
 	// Limit holds the values of the header in which the engine names a limit.
@@ -112,6 +115,9 @@
 	claimSignal chan struct{}
 	// suspectRuns is set while an item under which engines ended runs here.
 	suspectRuns atomic.Bool
+	// engineBorn is the latest start of the engine that its reports told of. Only
+	// AdjustToLoad uses it.
+	engineBorn int64
 
 	mu sync.Mutex
 	// runs holds the claimed items by item id, held those not to be claimed yet.
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -50,6 +50,7 @@
 		}
 		if instance, listed := r.engineInstance(); err == nil && listed {
 			r.observeLimit(instance, report.Limit, sentAt)
+			r.observeCold(instance, report)
 		}
 		r.applyReport(report, err == nil, requestedAt)
 	}
@@ -156,10 +157,11 @@
 // capacity returns the engine's slots and how many of them live requests and
 // items use.
 func (r *Runner) capacity() bhwire.Room {
-	limit := r.config.Limits.Look(bhcap.RunnersEngine, time.Now())
+	limits, asked := r.config.Limits, time.Now()
+	limit, newest, cold := limits.Look(bhcap.RunnersEngine, bhcap.LiveClass(0), asked), limits.Newest(bhcap.RunnersEngine), limits.Cold(bhcap.RunnersEngine, asked)
 	var heard time.Duration
-	if newest := r.config.Limits.Newest(bhcap.RunnersEngine); !newest.At.IsZero() {
-		heard = max(1, time.Since(newest.At))
+	if !newest.At.IsZero() {
+		heard = max(1, asked.Sub(newest.At))
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,7 +169,7 @@
 	now := r.config.Clock.Now()
 	return bhwire.Room{
 		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: r.load.live(), Items: active, Age: now - r.load.requestedAt,
-		Limited: limit.Named, Limit: limit.Rate, Heard: heard, Wait: limit.Wait,
+		Limited: newest.Named, Limit: newest.Rate, Heard: heard, Wait: limit.Wait, Cold: max(0, cold.Until.Sub(asked)),
 	}
 }
 
--- a/bhpass/fleet_test.go
+++ b/bhpass/fleet_test.go
@@ -36,6 +36,8 @@
 	// cut processes reach none of the others, unlisted ones don't know the gateways.
 	cut, unlisted map[int]bool
 	sent          []time.Time
+	// tolerance is what processes that start tolerate of cold upstreams.
+	tolerance bhcap.Tolerance
 }
 
 // testProcess is the view of one process. It implements Peers.
@@ -57,7 +59,7 @@
 // start starts the process anew.
 func (f *testFleet) start(number int) {
 	registry := New(Config{
-		Ledger: bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate}), Peers: &testProcess{fleet: f, number: number, began: time.Now()},
+		Ledger: bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate, Cold: f.tolerance}), Peers: &testProcess{fleet: f, number: number, began: time.Now()},
 		Runner: number == gateways, Logger: bhlog.Nop(), Scope: tally.NoopScope,
 	})
 	f.mu.Lock()
@@ -118,7 +120,11 @@
 		if receiver := p.fleet.receiver(p.number, peer); receiver != nil {
 			frame, err := bhwire.Encode(kind, 0, message)
 			require.NoError(p.fleet.t, err)
-			receiver.handleNamed(frame)
+			if kind == bhwire.KindCold {
+				receiver.handleCold(frame)
+			} else {
+				receiver.handleNamed(frame)
+			}
 		}
 	}
 }
@@ -153,7 +159,7 @@
 			f.mu.Lock()
 			p := f.processes[number]
 			f.mu.Unlock()
-			if p == nil || !p.Take(f.t.Context(), engine, isEngine).Granted {
+			if p == nil || !p.Take(f.t.Context(), engine, isEngine, bhcap.LiveClass(0)).Granted {
 				continue
 			}
 			sentAt := time.Now()
@@ -283,7 +289,7 @@
 		p.handleNamed(bhwire.Frame{Kind: bhwire.KindNamed, Body: []byte("no frame")})
 		kind, _ := p.handlePass(bhwire.Frame{Kind: bhwire.KindPass, Body: []byte("no frame")})
 		assert.Empty(t, kind)
-		assert.False(t, p.config.Ledger.Look(upstreamOf(engine), time.Now()).Named)
+		assert.False(t, p.config.Ledger.Look(upstreamOf(engine), bhcap.LiveClass(0), time.Now()).Limited)
 	})
 }
 
@@ -298,7 +304,7 @@
 		for range 20 {
 			f.send(true, limit, time.Second)
 			ledger.Observe(bhcap.RunnersEngine, bhcap.Naming{Named: true, Rate: limit, SentAt: time.Now(), At: time.Now()})
-			for ledger.Take(bhcap.RunnersEngine, time.Now()).Granted {
+			for ledger.Take(bhcap.RunnersEngine, bhcap.LiveClass(0), time.Now()).Granted {
 				items++
 				f.sent = append(f.sent, time.Now())
 			}
--- a/bhpass/registry.go
+++ b/bhpass/registry.go
@@ -1,5 +1,5 @@
-// Package bhpass tells whether a request may be sent to an upstream that names a limit. One
-// process owns an upstream's limit and grants each request to it: the runner beside an engine,
+// Package bhpass tells whether a request may be sent to an upstream that names a limit, or is
+// cold. One process owns an upstream's limit and grants each request to it: the runner beside an engine,
 // which also sends its items there and reads the limit in the engine's reports, or the
 // gateway that comes first for an upstream without a runner. Others ask it in datagrams, without
 // the store. What is granted is decided by package bhcap.
@@ -85,17 +85,17 @@
 func (r *Registry) RegisterHandlers(socket *bhpeer.Socket) {
 	socket.Handle(bhwire.KindPass, r.handlePass)
 	socket.Handle(bhwire.KindNamed, r.handleNamed)
+	socket.Handle(bhwire.KindCold, r.handleCold)
 }
 
-// Take takes the right to send one request to the instance, which may be an engine with a
-// runner. It takes some milliseconds if the instance names a limit, and no time otherwise.
-func (r *Registry) Take(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision {
-	upstream := upstreamOf(instance)
-	known := r.config.Ledger.Look(upstream, time.Now())
-	if !known.Named {
+// Take takes the right to send one request of the class to the instance, which may be an
+// engine with a runner. It takes some milliseconds if the instance has a limit, and no time
+// otherwise.
+func (r *Registry) Take(ctx context.Context, instance bhwatch.Instance, engine bool, class bhcap.Class) bhcap.Decision {
+	if known := r.config.Ledger.Look(upstreamOf(instance), class, time.Now()); !known.Limited {
 		return bhcap.Decision{Granted: true}
 	}
-	decision := r.takeLimited(ctx, instance, engine)
+	decision := r.takeLimited(ctx, instance, engine, class)
 	if decision.Granted {
 		r.granted.Inc(1)
 	} else {
@@ -106,14 +106,14 @@
 }
 
 // takeLimited asks the owner of the limit, or takes this process's share without it.
-func (r *Registry) takeLimited(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision {
+func (r *Registry) takeLimited(ctx context.Context, instance bhwatch.Instance, engine bool, class bhcap.Class) bhcap.Decision {
 	upstream := upstreamOf(instance)
 	owner, isSelf := r.owner(instance, engine)
 	if isSelf && r.settled() {
-		return r.config.Ledger.Take(upstream, time.Now())
+		return r.config.Ledger.Take(upstream, class, time.Now())
 	}
 	if owner.IsValid() {
-		if decision, answered := r.ask(ctx, owner, upstream); answered {
+		if decision, answered := r.ask(ctx, owner, upstream, class); answered {
 			return decision
 		}
 	}
@@ -138,9 +138,10 @@
 func (r *Registry) settled() bool { return r.config.Peers.ListedFor() >= bhcap.SettleTime }
 
 // ask asks the owner for one request. It reports false if it didn't answer or isn't the owner.
-func (r *Registry) ask(ctx context.Context, owner netip.AddrPort, upstream bhcap.Upstream) (bhcap.Decision, bool) {
+func (r *Registry) ask(ctx context.Context, owner netip.AddrPort, upstream bhcap.Upstream, class bhcap.Class) (bhcap.Decision, bool) {
 	askedAt := time.Now()
-	frame, ok := r.config.Peers.Ask(ctx, passWait, bhwire.KindPass, bhwire.Pass{Limit: r.naming(upstream, askedAt)}, owner)[owner]
+	pass := bhwire.Pass{Limit: r.naming(upstream, askedAt), Class: int(class), Cold: r.cold(upstream, askedAt)}
+	frame, ok := r.config.Peers.Ask(ctx, passWait, bhwire.KindPass, pass, owner)[owner]
 	if !ok || time.Since(askedAt) > 2*passWait {
 		return bhcap.Decision{}, false // a process that was suspended must not use an old grant
 	}
@@ -153,7 +154,7 @@
 		return bhcap.Decision{}, false
 	}
 	r.merge(passed.Limit)
-	return bhcap.Decision{Granted: passed.Granted, Named: passed.Limit.Named, Rate: passed.Limit.Limit, Wait: passed.Wait}, true
+	return bhcap.Decision{Granted: passed.Granted, Limited: true, Rate: passed.Limit.Limit, Wait: passed.Wait}, true
 }
 
 // naming returns what this process knows of the upstream's limit.
@@ -192,8 +193,9 @@
 	if !r.owns(pass.Limit.Upstream) {
 		return bhwire.KindPassed, bhwire.Passed{}
 	}
-	upstream := r.named(pass.Limit)
-	decision := r.config.Ledger.Take(upstream, time.Now())
+	upstream, now := r.named(pass.Limit), time.Now()
+	r.mergeCold(upstream, pass.Cold)
+	decision := r.config.Ledger.Take(upstream, bhcap.Class(max(0, pass.Class)), now)
 	limit := r.naming(upstream, time.Now())
 	limit.Upstream, limit.Born = pass.Limit.Upstream, pass.Limit.Born
 	return bhwire.KindPassed, bhwire.Passed{Owned: true, Granted: decision.Granted, Limit: limit, Wait: decision.Wait}
@@ -230,10 +232,15 @@
 
 // named returns the upstream of a message in this process's ledger.
 func (r *Registry) named(message bhwire.Named) bhcap.Upstream {
+	return r.upstream(message.Upstream, message.Born)
+}
+
+// upstream returns the start of an upstream in this process's ledger.
+func (r *Registry) upstream(id string, born int64) bhcap.Upstream {
 	if r.config.Runner {
 		return bhcap.RunnersEngine
 	}
-	return bhcap.Upstream{ID: message.Upstream, Born: message.Born}
+	return bhcap.Upstream{ID: id, Born: born}
 }
 
 // upstreamOf returns the name of the instance's start.
--- a/bhpolicy/index.go
+++ b/bhpolicy/index.go
@@ -16,8 +16,7 @@
 	routesByName   map[string]*Route
 	accountsByKey  map[string]*Account
 	accountsByName map[string]*Account
-	// engineServices says by service name whether the upstreams are engines.
-	engineServices map[string]bool
+	servicesByName map[string]*Service
 }
 
 // NewIndex returns the index of a policy, which must not change afterwards.
@@ -28,10 +27,10 @@
 		routesByName:   make(map[string]*Route),
 		accountsByKey:  make(map[string]*Account),
 		accountsByName: make(map[string]*Account),
-		engineServices: make(map[string]bool),
+		servicesByName: make(map[string]*Service),
 	}
-	for _, service := range policy.Services {
-		index.engineServices[service.Name] = service.Slots > 0
+	for i := range policy.Services {
+		index.servicesByName[policy.Services[i].Name] = &policy.Services[i]
 	}
 	for i := range policy.Routes {
 		route := &policy.Routes[i]
@@ -69,8 +68,14 @@
 // RouteNamed returns the route with the given name, or nil.
 func (i *Index) RouteNamed(name string) *Route { return i.routesByName[name] }
 
+// ServiceNamed returns the service with the given name, or nil.
+func (i *Index) ServiceNamed(name string) *Service { return i.servicesByName[name] }
+
 // IsEngineService reports whether the service's upstreams are engines.
-func (i *Index) IsEngineService(service string) bool { return i.engineServices[service] }
+func (i *Index) IsEngineService(service string) bool {
+	known := i.servicesByName[service]
+	return known != nil && known.Slots > 0
+}
 
 // RequiresKeys reports whether requests to routes that aren't public need a key:
 // they do if the policy has accounts.
--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -85,7 +85,9 @@
 	for _, instance := range instances {
 		listed[instance.ID] = true
 		delete(t.graceEnds, instance.ID)
-		if old, ok := t.known[instance.ID]; !ok || old != instance {
+		old, known := t.known[instance.ID]
+		instance.ColdUntil = coldUntil(old, instance, sent)
+		if old.Cold, old.ColdUntil = instance.Cold, instance.ColdUntil; !known || old != instance {
 			bhlog.Event(logger, "upstream.listed", "upstream", instance.ID, "service", instance.Service,
 				"address", instance.Address, "version", instance.Version, "draining", instance.Draining, "born", instance.Born)
 		}
@@ -106,3 +108,15 @@
 		}
 	}
 }
+
+// coldUntil returns when the listed instance is warm. A record that is read again as it was
+// says nothing new, so the time counts from when it was first read.
+func coldUntil(known, listed Instance, sent time.Duration) time.Duration {
+	switch {
+	case listed.Cold <= 0:
+		return 0
+	case known.Born == listed.Born && known.Cold == listed.Cold:
+		return known.ColdUntil
+	}
+	return sent + listed.Cold
+}
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -57,8 +57,10 @@
 	// Born is the start time of the process in milliseconds since the Unix epoch.
 	// It distinguishes a restarted process with the same ID.
 	Born int64
-	// Cold is how much longer the instance is cold after its start, as its record says.
-	Cold time.Duration
+	// Cold is how much longer the instance is cold after its start, as its record says, and
+	// ColdUntil when it is warm by the watcher's clock; both are zero if it is warm.
+	Cold      time.Duration
+	ColdUntil time.Duration
 	// RunnerAddr is the address at which the runner beside an engine reports the
 	// engine's load; the zero AddrPort if there is no runner.
 	RunnerAddr netip.AddrPort
--- a/bhwatch/watch_test.go
+++ b/bhwatch/watch_test.go
@@ -270,3 +270,27 @@
 		assert.ElementsMatch(t, []string{"old", "other"}, instanceIDs(w.View().Fleet["s"]), "the record of the newer instance is gone")
 	})
 }
+
+// TestInstanceIsColdAsLongAsItsRecordSaysFromItsFirstRead guards against an upstream that is
+// taken to be cold for ever because its record isn't renewed, or warm when it is cold again.
+func TestInstanceIsColdAsLongAsItsRecordSaysFromItsFirstRead(t *testing.T) {
+	tracker := newInstanceTracker(time.Hour)
+	for _, c := range []struct {
+		sent time.Duration
+		born int64
+		cold time.Duration
+		want time.Duration
+	}{
+		{1 * time.Second, 1, 0, 0},
+		{2 * time.Second, 1, 3 * time.Second, 5 * time.Second},
+		{3 * time.Second, 1, 3 * time.Second, 5 * time.Second},
+		{4 * time.Second, 1, 500 * time.Millisecond, 4500 * time.Millisecond},
+		{9 * time.Second, 1, 500 * time.Millisecond, 4500 * time.Millisecond},
+		{10 * time.Second, 1, 3 * time.Second, 13 * time.Second},
+		{11 * time.Second, 2, 3 * time.Second, 14 * time.Second},
+		{12 * time.Second, 2, 0, 0},
+	} {
+		fleet := tracker.update([]Instance{{ID: "a", Service: "s", Born: c.born, Cold: c.cold}}, c.sent, bhlog.Nop())
+		assert.Equal(t, c.want, fleet["s"][0].ColdUntil, "at %s", c.sent)
+	}
+}
--- a/bhwire/codec.go
+++ b/bhwire/codec.go
@@ -57,6 +57,7 @@
 	KindPass,
 	KindPassed,
 	KindNamed,
+	KindCold,
 }
 
 var (
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -16,6 +16,22 @@
 	Version string `json:"version"`
 }
 
+// Cold says that an upstream is cold after its start. As a frame of its own it
+// isn't answered.
+type Cold struct {
+	// Start of the upstream, in milliseconds since the Unix epoch.
+	Born int64 `json:"born"`
+
+	// Time for which it is still cold; 0 if it isn't, as far as the sender knows.
+	Left time.Duration `json:"left"`
+
+	// Requests a second that the upstream tolerates while it is cold.
+	Tolerates float64 `json:"tolerates"`
+
+	// ID of the upstream.
+	Upstream string `json:"upstream"`
+}
+
 // Draw asks another gateway for one token of an account.
 type Draw struct {
 	// Name of the account.
@@ -102,6 +118,12 @@
 // Pass asks the owner of an upstream's limit for the right to send one request
 // there, and says what the sender knows of the limit.
 type Pass struct {
+	// How urgent the request is; lower ones go first, of live requests from 0.
+	Class int `json:"class"`
+
+	// Cold corresponds to the JSON schema field "cold".
+	Cold Cold `json:"cold"`
+
 	// Limit corresponds to the JSON schema field "limit".
 	Limit Named `json:"limit"`
 }
@@ -132,6 +154,9 @@
 	// Time since the engine was asked for its load.
 	Age time.Duration `json:"age"`
 
+	// Time until the engine is warm after its start; 0 if it is.
+	Cold time.Duration `json:"cold"`
+
 	// Time since the answer that said so; 0 if the runner has heard of no limit.
 	Heard time.Duration `json:"heard"`
 
