Limits: grants follow urgency, and live requests wait for the next one

Grants went in order of asking, so that items which ask again and again took what live requests need. Each ask now has a class, live requests by their priority before all items.

--- a/bhcap/class.go
+++ b/bhcap/class.go
@@ -1,5 +1,7 @@
 package bhcap
 
+import "time"
+
 // Class is how urgent a request is; lower ones go first. What is left after the recent demand
 // of more urgent classes is granted to the others.
 type Class int
@@ -16,3 +18,10 @@
 
 // ItemClass returns the class of batch items of the priority.
 func ItemClass(priority int) Class { return itemClass + LiveClass(priority) }
+
+// Ask asks for the right to send one request.
+type Ask struct {
+	Class Class
+	// Patience is how long the request may wait until it is sent.
+	Patience time.Duration
+}
--- a/bhcap/cold_test.go
+++ b/bhcap/cold_test.go
@@ -58,7 +58,7 @@
 						if random.Float64() >= wanted(now)/4000 {
 							continue
 						}
-						granted := owner.Take(upstream, LiveClass(0), at(now)).Granted
+						granted := owner.Take(upstream, Ask{}, at(now)).Granted
 						if !granted {
 							granted = alone[random.IntN(senders)].TakeShare(upstream, senders, at(now)).Granted
 						}
@@ -91,11 +91,11 @@
 	l.ObserveCold(upstream, Cold{Rate: 29, Until: at(2 * time.Second)}, at(0))
 	assert.Equal(t, 29.0, l.Look(upstream, LiveClass(0), at(2900*time.Millisecond)).Rate, "the longest report binds")
 	assert.Equal(t, Cold{}, l.Cold(upstream, at(3*time.Second)))
-	assert.False(t, l.Take(upstream, LiveClass(0), at(3*time.Second)).Limited)
+	assert.False(t, l.Take(upstream, Ask{}, at(3*time.Second)).Limited)
 	l.ObserveCold(upstream, Cold{Rate: 29, Until: at(13 * time.Second)}, at(10*time.Second))
 	granted := 0
 	for range 50 {
-		if l.Take(upstream, LiveClass(0), at(10*time.Second)).Granted {
+		if l.Take(upstream, Ask{}, at(10*time.Second)).Granted {
 			granted++
 		}
 	}
@@ -121,7 +121,7 @@
 			l.ObserveCold(upstream, Cold{Rate: limits[1], Until: at(time.Minute)}, at(0))
 			granted := 0
 			for now := time.Duration(0); now < 10*time.Second; now += time.Millisecond {
-				decision := l.Take(upstream, LiveClass(0), at(now))
+				decision := l.Take(upstream, Ask{}, at(now))
 				if alone {
 					decision = l.TakeShare(upstream, 1, at(now))
 				}
--- a/bhcap/ledger.go
+++ b/bhcap/ledger.go
@@ -11,9 +11,13 @@
 	// in which as many arrive at a higher limit.
 	leastBurst = 2
 	burstTime  = time.Second
-	// reserveTime is the time for which the recent demand of more urgent requests is reserved,
-	// leastDemand a demand in requests a second that is none.
-	reserveTime = time.Second
+	// reserveTime is the time for which the recent demand of more urgent requests is left for
+	// them.
+	reserveTime = 3 * time.Second
+	// maxPatience bounds how long before its use a request is granted: the limit may fall
+	// meanwhile.
+	maxPatience = time.Second
+	// leastDemand is a demand in requests a second that counts as none.
 	leastDemand = 1e-3
 	// maxWait is the wait that is told where none is due, as with a limit of 0.
 	maxWait = 5 * time.Second
@@ -71,6 +75,8 @@
 	// the lowest limit.
 	Limited bool
 	Rate    float64
+	// Delay is how long the sender must wait before it sends a granted request.
+	Delay time.Duration
 	// Wait is the time until the next request may be granted.
 	Wait time.Duration
 }
@@ -170,23 +176,25 @@
 }
 
 // Take takes the right to send one request to the upstream, as the owner of its limits. What
-// more urgent requests take by their recent demand is left for them.
-func (l *Ledger) Take(upstream Upstream, class Class, now time.Time) Decision {
+// more urgent requests take by their recent demand is left for them. If there is nothing left
+// now, a patient request takes what is next, before the less urgent ones that ask later.
+func (l *Ledger) Take(upstream Upstream, ask Ask, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	known.demand.add(class, now)
-	decision := l.look(known, limits, class, now)
-	if decision.Granted {
-		for _, limit := range limits {
-			limit.ownedBucket(now).AllowN(now, 1)
-		}
-		decision = l.look(known, limits, class, now)
-		decision.Granted = true
+	known.demand.add(ask.Class, now)
+	if decision := l.look(known, limits, ask.Class, now); decision.Wait > min(ask.Patience, maxPatience) {
+		return decision
+	}
+	delay := time.Duration(0)
+	for _, limit := range limits {
+		delay = max(delay, limit.ownedBucket(now).ReserveN(now, 1).DelayFrom(now))
 	}
+	decision := l.look(known, limits, ask.Class, now)
+	decision.Granted, decision.Delay = true, delay
 	return decision
 }
 
--- a/bhcap/ledger_test.go
+++ b/bhcap/ledger_test.go
@@ -84,7 +84,7 @@
 	for _, l := range []*Ledger{strict, probing} {
 		l.Observe(upstream, named(0, 0))
 		for step := range 200 {
-			if l.Take(upstream, LiveClass(0), at(time.Duration(step)*100*time.Millisecond)).Granted {
+			if l.Take(upstream, Ask{}, at(time.Duration(step)*100*time.Millisecond)).Granted {
 				granted++
 			}
 		}
@@ -107,7 +107,7 @@
 		now := time.Duration(0)
 		for range rapid.IntRange(1, 300).Draw(t, "requests") {
 			now += time.Duration(rapid.IntRange(0, 400).Draw(t, "pause")) * time.Millisecond
-			decision := l.Take(upstream, LiveClass(0), at(now))
+			decision := l.Take(upstream, Ask{}, at(now))
 			if decision.Granted {
 				grants = append(grants, now)
 			} else if decision.Wait < maxWait && !l.Look(upstream, LiveClass(0), at(now+decision.Wait)).Granted {
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -27,10 +27,13 @@
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
 	balancer := c.gate.config.Balancer
 	instances := c.instances(service)
-	c.limitWait = 0
+	c.limitWaits = nil
 	c.observeCold(service, instances, nil)
 	if !c.isEngine(service) {
 		instance, ok := c.pickWithinLimit(ctx, service, instances, excluded, nil)
+		if !ok {
+			instance, ok = c.awaitLimit(ctx, service, instances, excluded, nil)
+		}
 		if !ok {
 			return instance, c.noneWithinLimit(service)
 		}
@@ -48,6 +51,9 @@
 		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
+	if !ok {
+		instance, ok = c.awaitLimit(ctx, service, candidates, excluded, loads)
+	}
 	if !ok {
 		return instance, c.noneWithinLimit(service)
 	}
--- a/bhgate/limit_test.go
+++ b/bhgate/limit_test.go
@@ -107,3 +107,48 @@
 	assert.GreaterOrEqual(t, cold.count(), 3)
 	assert.Equal(t, 60, cold.count()+warm.count())
 }
+
+// TestRequestsWaitForTheNextGrantWithinTheirObjective guards against requests that are refused
+// although an upstream with a limit takes them in time, and against ones that wait for what
+// would come too late.
+func TestRequestsWaitForTheNextGrantWithinTheirObjective(t *testing.T) {
+	const limit = 10.0
+	for _, objective := range []time.Duration{time.Second, 30 * time.Millisecond} {
+		u := newUpstream(t, func(w http.ResponseWriter, r *http.Request, number int) {
+			w.Header().Set("Limit", fmt.Sprint(limit))
+			answerOK(w, r, number)
+		})
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, LatencyObjective: objective}, u)
+		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x"))) // which tells of the limit
+		served, refused, began := 0, 0, time.Now()
+		for attempt := range 15 {
+			sentAt := time.Now()
+			if g.status(g.request("/a/x", requestID("r", attempt))) == http.StatusOK {
+				served++
+			} else {
+				refused++
+				assert.Less(t, time.Since(sentAt), 100*time.Millisecond, "a refusal isn't held back")
+			}
+		}
+		if objective == time.Second {
+			assert.Equal(t, 15, served)
+			assert.GreaterOrEqual(t, time.Since(began).Seconds()*limit*1.5+5, 15.0)
+		} else {
+			assert.Positive(t, refused)
+		}
+	}
+}
+
+// TestWaitingRequestFollowsANewerPolicy guards against a request that waits for a grant and is
+// then sent to an upstream that it may not use any more.
+func TestWaitingRequestFollowsANewerPolicy(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request, number int) {
+		w.Header().Set("Limit", "2")
+		answerOK(w, r, number)
+	})
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, LatencyObjective: 2 * time.Second}, u)
+	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")))
+	time.AfterFunc(200*time.Millisecond, func() { g.evacuate("here") })
+	assert.Equal(t, http.StatusServiceUnavailable, g.status(g.request("/a/x", requestID("r", 2))))
+	assert.Equal(t, 1, u.count())
+}
--- a/bhjob/limit.go
+++ b/bhjob/limit.go
@@ -41,7 +41,7 @@
 			priority = bhpolicy.PriorityOf(route, index.AccountNamed(job.Account))
 		}
 	}
-	if decision := r.config.Limits.Take(bhcap.RunnersEngine, bhcap.ItemClass(priority), time.Now()); !decision.Granted {
+	if decision := r.config.Limits.Take(bhcap.RunnersEngine, bhcap.Ask{Class: bhcap.ItemClass(priority)}, time.Now()); !decision.Granted {
 		return &limitedError{wait: decision.Wait}
 	}
 	return nil
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -126,11 +126,18 @@
 
 	// Limit corresponds to the JSON schema field "limit".
 	Limit Named `json:"limit"`
+
+	// How long the request may wait until it is sent.
+	Patience time.Duration `json:"patience"`
 }
 
 // Passed answers a pass.
 type Passed struct {
-	// Whether the asker may send the request, at once.
+	// How long the asker must wait before it sends a granted request; at most its
+	// patience.
+	Delay time.Duration `json:"delay"`
+
+	// Whether the asker may send the request, after the delay.
 	Granted bool `json:"granted"`
 
 	// Limit corresponds to the JSON schema field "limit".
