--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -156,6 +156,9 @@
 	// preferredRequests is the load, in live requests, that a preferred instance may have
 	// above that of others.
 	preferredRequests = 0.25
+	// coldScore is the share of its slots that counts as taken while an instance is cold
+	// after its start, and slow.
+	coldScore = 0.3
 	// otherCentreScore and jitterScore only decide between instances of equal
 	// load.
 	otherCentreScore = 0.02
@@ -173,6 +176,9 @@
 	if instance.Zone != b.centre {
 		score += otherCentreScore
 	}
+	if instance.Cold > 0 || loads[instance.RunnerAddr].Cold > 0 {
+		score += coldScore
+	}
 	if now.Before(upstream.backoffUntil) {
 		score += backoffScore
 	}
--- a/bhgate/limit_test.go
+++ b/bhgate/limit_test.go
@@ -85,3 +85,70 @@
 		}
 	}
 }
+
+// TestColdUpstreamGetsWhatItTolerates guards against an upstream that gets more requests than it
+// tolerates while it is cold, and against requests that aren't sent elsewhere instead.
+func TestColdUpstreamGetsWhatItTolerates(t *testing.T) {
+	cold, warm := newUpstream(t, answerOK), newUpstream(t, answerOK)
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe}, cold, warm)
+	g.policies.update(func(p *fakePolicies) {
+		policy := *p.view.Index.Policy
+		policy.Services = []bhpolicy.Service{{Name: "s", ColdTime: time.Hour, ColdRate: 5}}
+		p.view.Index = bhpolicy.NewIndex(&policy)
+		p.view.Fleet["s"][0].Cold, p.view.Fleet["s"][0].ColdUntil = time.Minute, g.clock.Now()+time.Minute
+	})
+	g.gate.config.Balancer.upstream("i-1").inflight = 1000 // the cold one has much less to do
+	began := time.Now()
+	for attempt := range 60 {
+		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x", requestID("r", attempt))))
+		time.Sleep(20 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, float64(cold.count()), 5*time.Since(began).Seconds()+1)
+	assert.GreaterOrEqual(t, cold.count(), 3)
+	assert.Equal(t, 60, cold.count()+warm.count())
+}
+
+// TestRequestsWaitForTheNextGrantWithinTheirObjective guards against requests that are refused
+// although an upstream with a limit takes them in time, and against ones that wait for what
+// would come too late.
+func TestRequestsWaitForTheNextGrantWithinTheirObjective(t *testing.T) {
+	const limit = 10.0
+	for _, objective := range []time.Duration{time.Second, 30 * time.Millisecond} {
+		u := newUpstream(t, func(w http.ResponseWriter, r *http.Request, number int) {
+			w.Header().Set("Limit", fmt.Sprint(limit))
+			answerOK(w, r, number)
+		})
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, LatencyObjective: objective}, u)
+		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x"))) // which tells of the limit
+		served, refused, began := 0, 0, time.Now()
+		for attempt := range 15 {
+			sentAt := time.Now()
+			if g.status(g.request("/a/x", requestID("r", attempt))) == http.StatusOK {
+				served++
+			} else {
+				refused++
+				assert.Less(t, time.Since(sentAt), 100*time.Millisecond, "a refusal isn't held back")
+			}
+		}
+		if objective == time.Second {
+			assert.Equal(t, 15, served)
+			assert.GreaterOrEqual(t, time.Since(began).Seconds()*limit*1.5+5, 15.0)
+		} else {
+			assert.Positive(t, refused)
+		}
+	}
+}
+
+// TestWaitingRequestFollowsANewerPolicy guards against a request that waits for a grant and is
+// then sent to an upstream that it may not use any more.
+func TestWaitingRequestFollowsANewerPolicy(t *testing.T) {
+	u := newUpstream(t, func(w http.ResponseWriter, r *http.Request, number int) {
+		w.Header().Set("Limit", "2")
+		answerOK(w, r, number)
+	})
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, LatencyObjective: 2 * time.Second}, u)
+	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")))
+	time.AfterFunc(200*time.Millisecond, func() { g.evacuate("here") })
+	assert.Equal(t, http.StatusServiceUnavailable, g.status(g.request("/a/x", requestID("r", 2))))
+	assert.Equal(t, 1, u.count())
+}
