--- a/bhadmit/admission.go
+++ b/bhadmit/admission.go
@@ -8,6 +8,8 @@
 	"math"
 	"math/rand/v2"
 	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhshare"
 )
 
 // Engine is the load of an engine.
@@ -26,6 +28,8 @@
 	// time, and Deadline how long the client still waits for the whole answer.
 	Objective time.Duration
 	Deadline  time.Duration
+	// Standing is how the request stands among the callers at the engines asked.
+	Standing bhshare.Standing
 }
 
 // Times are the times that requests take at an engine that isn't full: running
--- /dev/null
+++ b/bhadmit/callers_test.go
@@ -0,0 +1,138 @@
+package bhadmit
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// The bounds below are the users' aims for callers that compete.
+const (
+	// aimLossToHotAccount is how much less often the others may be served in time
+	// beside an account that sends many times its usual.
+	aimLossToHotAccount = 0.05
+	// aimWorstTenth is how often the worst-served tenth of accounts is served in
+	// time, as a part of the mean.
+	aimWorstTenth = 0.8
+	// aimLossToOrder is how much less often all callers together may be served in
+	// time than without an order among them.
+	aimLossToOrder = 0.01
+	// aimLossToLessUrgent is how much less often the most urgent requests may be
+	// served in time than if they were alone.
+	aimLossToLessUrgent = 0.02
+)
+
+// highPhase is the load of the high phase without a burst, as a part of the capacity.
+const highPhase = 0.75
+
+func TestHotAccountInABurst(t *testing.T) {
+	for _, rank := range []int{1, 4, 20} {
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) { testHotAccount(t, rank, none) })
+	}
+}
+
+func TestHotAccountWithHalfOfTheEnginesDark(t *testing.T) { testHotAccount(t, 4, darkHalf) }
+
+// testHotAccount plays a square wave with a burst of 1.5, with and without an account of
+// the rank by size that sends 9 times its usual.
+func testHotAccount(t *testing.T, rank int, lost func(time.Duration) int) {
+	l := manyAccounts(1.5*highPhase, lost)
+	calm := run[Ordered[ByObjective]](l)
+	l.accounts[rank-1].times = func(time.Duration) float64 { return 9 }
+	hot, unordered := run[Ordered[ByObjective]](l), run[ByObjective](l)
+	hotAlone := func(i int) bool { return i == rank-1 }
+	others := func(i int) bool { return i != rank-1 }
+	t.Logf("others: calm %.3f, beside the hot account %.3f, unordered %.3f; hot account in time %d of %d, calm %d; refused twice %.3f", calm.servedOf(others), hot.servedOf(others), unordered.servedOf(others),
+		hot.accounts[rank-1].inTime, hot.accounts[rank-1].sent, calm.accounts[rank-1].inTime, hot.refusedOf(others))
+	assert.GreaterOrEqual(t, hot.servedOf(others), calm.servedOf(others)-aimLossToHotAccount)
+	assert.Less(t, unordered.servedOf(others), calm.servedOf(others)-aimLossToHotAccount, "with the mechanism off")
+	assert.GreaterOrEqual(t, hot.accounts[rank-1].inTime, calm.accounts[rank-1].inTime, "it gets its usual amount at least")
+	assert.LessOrEqual(t, hot.refusedOf(others), max(aimRefusedTwice, calm.refusedOf(others)))
+	_ = hotAlone
+}
+
+func TestAccountsOfSkewedSizesOverTheCapacity(t *testing.T) {
+	for _, high := range []float64{1.1, 1.3, 1.6} {
+		t.Run(fmt.Sprint("high phase at ", high), func(t *testing.T) {
+			l := manyAccounts(high, none)
+			ordered, unordered := run[Ordered[ByObjective]](l), run[ByObjective](l)
+			t.Logf("in time %.3f, unordered %.3f; worst tenth %.3f, unordered %.3f; refused twice %.3f, unordered %.3f", ordered.served(), unordered.served(), ordered.worstTenth(), unordered.worstTenth(),
+				ordered.share(ordered.refused), unordered.share(unordered.refused))
+			assert.GreaterOrEqual(t, ordered.worstTenth(), aimWorstTenth*ordered.served())
+			assert.GreaterOrEqual(t, ordered.served(), unordered.served()-aimLossToOrder)
+			assert.LessOrEqual(t, ordered.share(ordered.refusedWithFreeSlots), 0.005, "nobody is refused while a slot is free")
+		})
+	}
+}
+
+func TestLessUrgentRequestsGetWhatIsLeft(t *testing.T) {
+	for _, urgent := range []float64{0.3, 0.7, 1.1} {
+		t.Run(fmt.Sprint("urgent at ", urgent), func(t *testing.T) {
+			const high = 1.4
+			l := manyAccounts(high, none)
+			l.accounts = []modelAccount{{name: "urgent", part: urgent / high}}
+			alone := run[Ordered[ByObjective]](l)
+			l.accounts = append(l.accounts, modelAccount{name: "other", priority: 1, part: 1 - urgent/high})
+			both, unordered := run[Ordered[ByObjective]](l), run[ByObjective](l)
+			t.Logf("urgent alone %.3f, beside others %.3f, unordered %.3f; others %.3f, unordered %.3f; all %.3f, unordered %.3f", alone.served(), both.accounts[0].served(), unordered.accounts[0].served(),
+				both.accounts[1].served(), unordered.accounts[1].served(), both.served(), unordered.served())
+			assert.GreaterOrEqual(t, both.accounts[0].served(), alone.served()-aimLossToLessUrgent)
+			assert.Positive(t, both.accounts[1].inTime, "the less urgent get what is left")
+		})
+	}
+}
+
+// manyAccounts returns the load of a square wave, whose high phase is a part of the
+// capacity, from 80 accounts of skewed sizes, largest first, on 44 engines with 8 slots
+// behind 31 gateways.
+func manyAccounts(high float64, lost func(time.Duration) int) load {
+	l := fleet(squareWave(high*capacity(44, 8)/1.84), lost)
+	l.engines, l.gateways = 44, 31
+	sum := 0.0
+	for i := range 80 {
+		account := modelAccount{name: fmt.Sprint("account ", i), part: math.Pow(float64(i+1), -1.2)}
+		l.accounts = append(l.accounts, account)
+		sum += account.part
+	}
+	for i := range l.accounts {
+		l.accounts[i].part /= sum
+	}
+	return l
+}
+
+// servedOf is the share of the requests of the chosen accounts that were served in time.
+func (o *outcome) servedOf(chosen func(i int) bool) float64 {
+	sent, inTime := 0, 0
+	for i, account := range o.accounts {
+		if chosen(i) {
+			sent, inTime = sent+account.sent, inTime+account.inTime
+		}
+	}
+	return float64(inTime) / float64(sent)
+}
+
+// refusedOf is the share of the requests of the chosen accounts that were refused twice.
+func (o *outcome) refusedOf(chosen func(i int) bool) float64 {
+	sent, refused := 0, 0
+	for i, account := range o.accounts {
+		if chosen(i) {
+			sent, refused = sent+account.sent, refused+account.refused
+		}
+	}
+	return float64(refused) / float64(sent)
+}
+
+// worstTenth is the share served in time of the tenth of accounts served worst.
+func (o *outcome) worstTenth() float64 {
+	accounts := slices.Clone(o.accounts)
+	slices.SortFunc(accounts, func(a, b accountOutcome) int { return int(math.Copysign(1, a.served()-b.served())) })
+	sent, inTime := 0, 0
+	for _, account := range accounts[:len(accounts)/10] {
+		sent, inTime = sent+account.sent, inTime+account.inTime
+	}
+	return float64(inTime) / float64(sent)
+}
--- a/bhadmit/model_test.go
+++ b/bhadmit/model_test.go
@@ -4,6 +4,9 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 )
 
 // step is the time between two states of the model.
@@ -25,6 +28,58 @@
 	widened  int
 	seed     uint64
 	deadline time.Duration
+	// accounts send the traffic; there is one if none is given.
+	accounts []modelAccount
+}
+
+// modelAccount is a client account of the model.
+type modelAccount struct {
+	name     string
+	priority int
+	// part is what the account usually sends of the traffic, and times the multiple of
+	// that which it sends; a nil times stands for 1. Its rate is proportional to its part.
+	part  float64
+	times func(at time.Duration) float64
+}
+
+// sends returns what the account sends at a time, in parts of the usual traffic.
+func (a *modelAccount) sends(at time.Duration) float64 {
+	if a.times == nil {
+		return a.part
+	}
+	return a.part * a.times(at)
+}
+
+// weights returns the weights of the accounts of the load.
+func (l *load) weights() *bhshare.Weights {
+	var accounts []bhpolicy.Account
+	for _, account := range l.accounts {
+		accounts = append(accounts, bhpolicy.Account{Name: account.name, Rate: account.part})
+	}
+	return bhshare.NewWeights(accounts)
+}
+
+// draw returns the index of an account by what the accounts send at a time.
+func (l *load) draw(random *rand.Rand, at time.Duration) int {
+	if len(l.accounts) == 1 {
+		return 0
+	}
+	point := random.Float64() * l.traffic(at)
+	for i := range l.accounts {
+		if point -= l.accounts[i].sends(at); point < 0 {
+			return i
+		}
+	}
+	return len(l.accounts) - 1
+}
+
+// traffic returns what all accounts send at a time, in parts of the usual traffic.
+func (l *load) traffic(at time.Duration) float64 {
+	sum := 0.0
+	for i := range l.accounts {
+		sum += l.accounts[i].sends(at)
+	}
+	return sum
 }
 
 const (
@@ -45,6 +100,7 @@
 
 // modelRequest is a request of a client in the model.
 type modelRequest struct {
+	account  int           // the index of the account
 	first    time.Duration // the first attempt
 	sent     time.Duration // the present attempt
 	returned bool
@@ -59,6 +115,7 @@
 	queue   []*modelRequest
 	dark    bool
 	items   int
+	ledger  bhshare.Ledger
 	// itemSteps is the work done on items.
 	itemSteps float64
 }
@@ -70,8 +127,16 @@
 	refusedWithFreeSlots int
 	firstTokens          []time.Duration
 	itemSteps            float64
+	// accounts counts by account, in their order.
+	accounts []accountOutcome
 }
 
+// accountOutcome counts what became of the requests of an account.
+type accountOutcome struct{ sent, inTime, refused int }
+
+// served is the share of the account's requests served in time, after a refusal too.
+func (a accountOutcome) served() float64 { return float64(a.inTime) / float64(a.sent) }
+
 func (o *outcome) share(count int) float64 { return float64(count) / float64(o.sent) }
 
 // served is the share of requests served in time, after a refusal too.
@@ -95,7 +160,11 @@
 	for i := range gateways {
 		gateways[i].Draw = random.Float64
 	}
-	result := &outcome{}
+	if len(l.accounts) == 0 {
+		l.accounts = []modelAccount{{part: 1}}
+	}
+	weights := l.weights()
+	result := &outcome{accounts: make([]accountOutcome, len(l.accounts))}
 	returning := make(map[time.Duration][]*modelRequest)
 	for at := time.Duration(0); at < l.length+l.deadline; at += step {
 		for i, e := range engines {
@@ -104,15 +173,17 @@
 		arrivals := returning[at]
 		delete(returning, at)
 		if at < l.length {
-			for n := poisson(random, l.perSecond(at)*step.Seconds()); n > 0; n-- {
+			for n := poisson(random, l.perSecond(at)*l.traffic(at)*step.Seconds()); n > 0; n-- {
 				result.sent++
-				arrivals = append(arrivals, &modelRequest{first: at, left: tokens * (0.5 + random.Float64())})
+				request := &modelRequest{account: l.draw(random, at), first: at, left: tokens * (0.5 + random.Float64())}
+				result.accounts[request.account].sent++
+				arrivals = append(arrivals, request)
 			}
 		}
 		for _, request := range arrivals {
 			request.sent, request.prefill = at, prefillTime
 			gateway := &gateways[random.IntN(len(gateways))]
-			if retry := send(gateway, request, engines, l, random, result); retry > 0 {
+			if retry := send(gateway, request, engines, l, weights, random, result); retry > 0 {
 				request.returned = true
 				back := (at + retry).Truncate(step)
 				returning[back] = append(returning[back], request)
@@ -126,8 +197,9 @@
 }
 
 // send decides about one attempt. It returns when the client comes back, or zero.
-func send[P Policy](gateway *Admission[P], request *modelRequest, engines []*modelEngine, l load, random *rand.Rand, result *outcome) time.Duration {
+func send[P Policy](gateway *Admission[P], request *modelRequest, engines []*modelEngine, l load, weights *bhshare.Weights, random *rand.Rand, result *outcome) time.Duration {
 	asked := Request{Objective: objective - network, Deadline: l.deadline - (request.sent - request.first)}
+	account := &l.accounts[request.account]
 	order := random.Perm(len(engines))
 	var best *modelEngine
 	decision := Decision{}
@@ -137,6 +209,9 @@
 			continue
 		}
 		engine := Engine{Slots: l.slots, Live: len(best.running) + len(best.queue), Items: best.items}
+		if !engine.Free() {
+			asked.Standing = standing(engines, order[:min(sampled, len(engines))], account, weights)
+		}
 		decision = gateway.Decide(asked, engine, modelTimes)
 		if engine.Free() {
 			break
@@ -144,6 +219,7 @@
 	}
 	if decision.Admitted && len(best.queue) < queueLimit {
 		best.queue = append(best.queue, request)
+		best.ledger.Announce(bhshare.ID(account.name), account.priority)
 		return 0
 	}
 	for _, e := range engines {
@@ -154,6 +230,7 @@
 	}
 	if request.returned {
 		result.refused++
+		result.accounts[request.account].refused++
 		return 0
 	}
 	if decision.RetryAfter == 0 {
@@ -162,6 +239,17 @@
 	return decision.RetryAfter
 }
 
+// standing returns how a request of the account stands at the sampled engines.
+func standing(engines []*modelEngine, sample []int, account *modelAccount, weights *bhshare.Weights) bhshare.Standing {
+	var usage bhshare.Usage
+	for _, i := range sample {
+		if e := engines[i]; !e.dark {
+			usage.Add(e.ledger.Callers(len(e.running) + len(e.queue))...)
+		}
+	}
+	return usage.Standing(bhshare.ID(account.name), account.priority, weights)
+}
+
 func leastLoaded(engines []*modelEngine, sample []int) *modelEngine {
 	var best *modelEngine
 	for _, i := range sample {
@@ -214,6 +302,9 @@
 func (e *modelEngine) count(r *modelRequest, result *outcome) {
 	first := r.started - r.sent + network
 	result.firstTokens = append(result.firstTokens, first)
+	if first <= objective {
+		result.accounts[r.account].inTime++
+	}
 	switch {
 	case first > objective:
 		result.late++
--- a/bhadmit/policies.go
+++ b/bhadmit/policies.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhshare"
 )
 
 // Names of the policies, for settings.
@@ -26,15 +28,27 @@
 func ByName(name string) (Decider, error) {
 	switch name {
 	case NameObjective:
-		return &Admission[ByObjective]{}, nil
+		return &Admission[Ordered[ByObjective]]{}, nil
 	case NameDeadline:
-		return &Admission[ByDeadline]{}, nil
+		return &Admission[Ordered[ByDeadline]]{}, nil
 	case NameAlways:
 		return &Admission[Always]{}, nil
 	}
 	return nil, errors.Errorf("admission policy %q is none of %q", name, Names())
 }
 
+// Ordered admits like P, but only requests that don't yield to other callers may wait
+// for a slot. Those that yield run where a slot is free.
+type Ordered[P Policy] struct{ Policy P }
+
+// MaxWait implements Policy.
+func (o Ordered[P]) MaxWait(request Request, times Times) time.Duration {
+	if request.Standing.Yields() != bhshare.None {
+		return 0
+	}
+	return o.Policy.MaxWait(request, times)
+}
+
 // Always admits every request: engines queue them in order of arrival.
 type Always struct{}
 
