Admission: order among callers at full engines

Change: a reserve carries a short name of the account and the priority; a runner whose engine is full tells whose the newest live requests are, and how long ago the oldest was announced. A gateway adds up its sample: a request that has more urgent ones beside it, or whose account holds more than its share by rate, may not wait; with a free slot nobody is refused. Among full engines it takes the one that frees a slot soonest.

--- a/bhadmit/admission.go
+++ b/bhadmit/admission.go
@@ -20,6 +20,9 @@
 	// Items that of batch items, which are paused for live requests.
 	Live  int
 	Items int
+	// Oldest is how long ago the oldest of the live requests was sent; 0 if that isn't
+	// known.
+	Oldest time.Duration
 }
 
 // Request is what is known about a request that asks for a slot.
@@ -87,6 +90,29 @@
 	return 0
 }
 
+// overdue is the multiple of the usual time after which a request says nothing about
+// when it ends: its engine is slow or hangs.
+const overdue = 1.5
+
+// NextFree estimates how long a full engine takes to free its next slot: until its
+// oldest request has taken the usual time. Where that is unknown or overdue, no request
+// is taken to end sooner than one that starts now.
+func (t *Times) NextFree(engine Engine) time.Duration {
+	if engine.Oldest > time.Duration(overdue*float64(t.Whole)) {
+		return t.Whole
+	}
+	return max(0, t.Whole-engine.Oldest)
+}
+
+// Less reports whether a has less to do than b before it takes a request: fewer live
+// requests for its slots, or, if both are full, a slot that is free sooner.
+func (t *Times) Less(a, b Engine) bool {
+	if before, after := a.Live*b.Slots, b.Live*a.Slots; before != after || a.Free() {
+		return before < after
+	}
+	return t.NextFree(a) < t.NextFree(b)
+}
+
 // Free reports whether the engine takes a live request at once, possibly in place
 // of an item.
 func (e Engine) Free() bool { return e.Live < e.Slots }
--- a/bhadmit/callers_test.go
+++ b/bhadmit/callers_test.go
@@ -1,6 +1,7 @@
 package bhadmit
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -29,30 +30,33 @@
 // highPhase is the load of the high phase without a burst, as a part of the capacity.
 const highPhase = 0.75
 
+// A burst of 1.5 is on, and one account sends 9 times its usual.
 func TestHotAccountInABurst(t *testing.T) {
 	for _, rank := range []int{1, 4, 20} {
-		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) { testHotAccount(t, rank, none) })
+		t.Run(fmt.Sprint("rank ", rank), func(t *testing.T) { testHotAccount(t, manyAccounts(1.5*highPhase, none), rank) })
 	}
 }
 
-func TestHotAccountWithHalfOfTheEnginesDark(t *testing.T) { testHotAccount(t, 4, darkHalf) }
+func TestHotAccountWithHalfOfTheEnginesDark(t *testing.T) {
+	testHotAccount(t, manyAccounts(highPhase, darkHalf), 4)
+}
 
-// testHotAccount plays a square wave with a burst of 1.5, with and without an account of
-// the rank by size that sends 9 times its usual.
-func testHotAccount(t *testing.T, rank int, lost func(time.Duration) int) {
-	l := manyAccounts(1.5*highPhase, lost)
+// testHotAccount plays the load with and without an account of the rank by size that
+// sends 9 times its usual.
+func testHotAccount(t *testing.T, l load, rank int) {
 	calm := run[Ordered[ByObjective]](l)
 	l.accounts[rank-1].times = func(time.Duration) float64 { return 9 }
-	hot, unordered := run[Ordered[ByObjective]](l), run[ByObjective](l)
-	hotAlone := func(i int) bool { return i == rank-1 }
-	others := func(i int) bool { return i != rank-1 }
-	t.Logf("others: calm %.3f, beside the hot account %.3f, unordered %.3f; hot account in time %d of %d, calm %d; refused twice %.3f", calm.servedOf(others), hot.servedOf(others), unordered.servedOf(others),
-		hot.accounts[rank-1].inTime, hot.accounts[rank-1].sent, calm.accounts[rank-1].inTime, hot.refusedOf(others))
-	assert.GreaterOrEqual(t, hot.servedOf(others), calm.servedOf(others)-aimLossToHotAccount)
-	assert.Less(t, unordered.servedOf(others), calm.servedOf(others)-aimLossToHotAccount, "with the mechanism off")
-	assert.GreaterOrEqual(t, hot.accounts[rank-1].inTime, calm.accounts[rank-1].inTime, "it gets its usual amount at least")
-	assert.LessOrEqual(t, hot.refusedOf(others), max(aimRefusedTwice, calm.refusedOf(others)))
-	_ = hotAlone
+	ordered, unordered := run[Ordered[ByObjective]](l), run[ByObjective](l)
+	account, usual := ordered.accounts[rank-1], calm.accounts[rank-1]
+	t.Logf("others in time: %.3f without the hot account, %.3f beside it, %.3f unordered; refused twice %.3f, %.3f, %.3f",
+		calm.others(rank).served(), ordered.others(rank).served(), unordered.others(rank).served(), calm.others(rank).refusedTwice(), ordered.others(rank).refusedTwice(), unordered.others(rank).refusedTwice())
+	t.Logf("hot account in time: %d of %d, usually %d of %d", account.inTime, account.sent, usual.inTime, usual.sent)
+	assert.GreaterOrEqual(t, ordered.others(rank).served(), calm.others(rank).served()-aimLossToHotAccount)
+	assert.GreaterOrEqual(t, ordered.others(rank).served(), aimInTime)
+	assert.LessOrEqual(t, ordered.others(rank).refusedTwice(), aimRefusedTwice)
+	assert.GreaterOrEqual(t, account.inTime, usual.inTime, "it gets its share, which is its usual amount at least")
+	assert.GreaterOrEqual(t, ordered.others(rank).served(), unordered.others(rank).served(), "with the mechanism off")
+	assert.LessOrEqual(t, ordered.share(ordered.refusedWithFreeSlots), 0.005, "nobody is refused while a slot is free")
 }
 
 func TestAccountsOfSkewedSizesOverTheCapacity(t *testing.T) {
@@ -104,35 +108,24 @@
 	return l
 }
 
-// servedOf is the share of the requests of the chosen accounts that were served in time.
-func (o *outcome) servedOf(chosen func(i int) bool) float64 {
-	sent, inTime := 0, 0
-	for i, account := range o.accounts {
-		if chosen(i) {
-			sent, inTime = sent+account.sent, inTime+account.inTime
-		}
-	}
-	return float64(inTime) / float64(sent)
-}
-
-// refusedOf is the share of the requests of the chosen accounts that were refused twice.
-func (o *outcome) refusedOf(chosen func(i int) bool) float64 {
-	sent, refused := 0, 0
+// others counts what became of the requests of all accounts but that of the rank.
+func (o *outcome) others(rank int) accountOutcome {
+	var sum accountOutcome
 	for i, account := range o.accounts {
-		if chosen(i) {
-			sent, refused = sent+account.sent, refused+account.refused
+		if i != rank-1 {
+			sum = sum.plus(account)
 		}
 	}
-	return float64(refused) / float64(sent)
+	return sum
 }
 
 // worstTenth is the share served in time of the tenth of accounts served worst.
 func (o *outcome) worstTenth() float64 {
 	accounts := slices.Clone(o.accounts)
-	slices.SortFunc(accounts, func(a, b accountOutcome) int { return int(math.Copysign(1, a.served()-b.served())) })
-	sent, inTime := 0, 0
+	slices.SortFunc(accounts, func(a, b accountOutcome) int { return cmp.Compare(a.served(), b.served()) })
+	var sum accountOutcome
 	for _, account := range accounts[:len(accounts)/10] {
-		sent, inTime = sent+account.sent, inTime+account.inTime
+		sum = sum.plus(account)
 	}
-	return float64(inTime) / float64(sent)
+	return sum.served()
 }
--- a/bhadmit/model_test.go
+++ b/bhadmit/model_test.go
@@ -134,6 +134,13 @@
 // accountOutcome counts what became of the requests of an account.
 type accountOutcome struct{ sent, inTime, refused int }
 
+func (a accountOutcome) plus(b accountOutcome) accountOutcome {
+	return accountOutcome{sent: a.sent + b.sent, inTime: a.inTime + b.inTime, refused: a.refused + b.refused}
+}
+
+// refusedTwice is the share of the account's requests that were refused twice.
+func (a accountOutcome) refusedTwice() float64 { return float64(a.refused) / float64(a.sent) }
+
 // served is the share of the account's requests served in time, after a refusal too.
 func (a accountOutcome) served() float64 { return float64(a.inTime) / float64(a.sent) }
 
@@ -203,12 +210,15 @@
 	order := random.Perm(len(engines))
 	var best *modelEngine
 	decision := Decision{}
-	for _, sampled := range []int{l.sampled, l.sampled + l.widened} {
-		best = leastLoaded(engines, order[:min(sampled, len(engines))])
+	for _, sampled := range []int{l.sampled, l.sampled + l.widened, l.sampled + 2*l.widened} {
+		if sampled > l.sampled+l.widened && asked.Standing.Yields() == bhshare.None {
+			break
+		}
+		best = leastLoaded(engines, order[:min(sampled, len(engines))], l.slots, request.sent)
 		if best == nil {
 			continue
 		}
-		engine := Engine{Slots: l.slots, Live: len(best.running) + len(best.queue), Items: best.items}
+		engine := best.load(l.slots, request.sent)
 		if !engine.Free() {
 			asked.Standing = standing(engines, order[:min(sampled, len(engines))], account, weights)
 		}
@@ -219,7 +229,7 @@
 	}
 	if decision.Admitted && len(best.queue) < queueLimit {
 		best.queue = append(best.queue, request)
-		best.ledger.Announce(bhshare.ID(account.name), account.priority)
+		best.ledger.Announce(bhshare.ID(account.name), account.priority, request.sent)
 		return 0
 	}
 	for _, e := range engines {
@@ -250,17 +260,27 @@
 	return usage.Standing(bhshare.ID(account.name), account.priority, weights)
 }
 
-func leastLoaded(engines []*modelEngine, sample []int) *modelEngine {
+func leastLoaded(engines []*modelEngine, sample []int, slots int, at time.Duration) *modelEngine {
 	var best *modelEngine
+	var least Engine
 	for _, i := range sample {
 		e := engines[i]
-		if !e.dark && (best == nil || len(e.running)+len(e.queue) < len(best.running)+len(best.queue)) {
-			best = e
+		if load := e.load(slots, at); !e.dark && (best == nil || modelTimes.Less(load, least)) {
+			best, least = e, load
 		}
 	}
 	return best
 }
 
+// load returns the engine's load as its runner reports it.
+func (e *modelEngine) load(slots int, at time.Duration) Engine {
+	load := Engine{Slots: slots, Live: len(e.running) + len(e.queue), Items: e.items}
+	if oldest, ok := e.ledger.Oldest(load.Live); ok {
+		load.Oldest = at - oldest
+	}
+	return load
+}
+
 // advance moves the engine on by one step of the model.
 func (e *modelEngine) advance(at time.Duration, dark bool, l load, result *outcome) {
 	if dark {
--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -183,6 +183,14 @@
 	return reported
 }
 
+// BackingOff reports whether the instance id is in backoff.
+func (b *Balancer) BackingOff(id string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	upstream := b.upstreams[id]
+	return upstream != nil && time.Now().Before(upstream.backoffUntil)
+}
+
 // Done ends a request that Pick counted at the instance id.
 func (b *Balancer) Done(id string) {
 	b.mu.Lock()
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -8,6 +8,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhadmit"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -41,8 +42,14 @@
 	candidates := sample
 	if !c.anyFree(sample, excluded, loads) {
 		candidates = c.widen(ctx, instances, sample, excluded, loads)
+		if c.standing(loads).Yields() != bhshare.None && !c.anyFree(candidates, excluded, loads) {
+			candidates = c.widen(ctx, instances, candidates, excluded, loads)
+		}
+	}
+	instance, ok := c.pickWithinLimit(ctx, service, c.soonest(service, candidates, excluded, loads), excluded, loads)
+	if !ok {
+		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
-	instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	if !ok && len(candidates) == len(sample) {
 		candidates = c.widen(ctx, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
@@ -53,13 +60,13 @@
 	load := loads[instance.RunnerAddr]
 	c.choice.load = load
 	if load.Slots > 0 && load.Age <= maxLoadAge && !resume {
-		if err := c.admitTo(service, load); err != nil {
+		if err := c.admitTo(service, load, loads); err != nil {
 			balancer.Done(instance.ID)
 			return instance, err
 		}
 	}
 	if instance.RunnerAddr.IsValid() {
-		c.gate.config.EngineLoads.Reserve(instance.RunnerAddr)
+		c.gate.config.EngineLoads.Reserve(instance.RunnerAddr, c.caller())
 		c.watchEngine(instance.RunnerAddr)
 	}
 	return instance, nil
@@ -98,21 +105,30 @@
 	return loads
 }
 
-// admitTo decides whether the request may wait for the engine with the load. It
-// returns an Overloaded error with the time to come back if not.
-func (c *call) admitTo(service string, load bhwire.Room) error {
+// admitTo decides whether the request may wait for the engine with the load, the best of
+// those with the loads. It returns an Overloaded error with the time to come back if not.
+func (c *call) admitTo(service string, load bhwire.Room, loads map[netip.AddrPort]bhwire.Room) error {
 	now := time.Now()
 	request := bhadmit.Request{Deadline: c.deadline.Sub(now)}
 	if c.route.LatencyObjective > 0 {
 		request.Objective = c.arrived.Add(c.route.LatencyObjective).Sub(now)
 	}
+	if full(load) {
+		request.Standing = c.standing(loads)
+		c.choice.standing = request.Standing
+	}
 	times := c.gate.times.of(service)
 	decision := c.gate.config.Admission.Decide(request, toEngine(load), times)
 	c.choice.wait = decision.Wait
 	if decision.Admitted {
 		return nil
 	}
-	c.gate.metrics.notAdmitted.Inc(1)
+	yields := request.Standing.Yields()
+	c.gate.metrics.notAdmitted[yields].Inc(1)
+	if yields != bhshare.None {
+		return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full, and the request yields to other callers by %s: it has %d slots of a share of %.1f, more urgent ones %d",
+			service, yields, request.Standing.Own, request.Standing.Fair, request.Standing.Urgent).WithRetryAfter(decision.RetryAfter)
+	}
 	return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full: the first token would take %s, with %s left for it",
 		service, decision.Wait+times.First, request.Objective).WithRetryAfter(decision.RetryAfter)
 }
@@ -122,7 +138,7 @@
 
 // toEngine returns the load as the admission sees it.
 func toEngine(load bhwire.Room) bhadmit.Engine {
-	return bhadmit.Engine{Slots: load.Slots, Live: load.Live, Items: load.Items}
+	return bhadmit.Engine{Slots: load.Slots, Live: load.Live, Items: load.Items, Oldest: load.Oldest}
 }
 
 // engineChoice is what the last choice of an engine was based on, for the log.
@@ -134,6 +150,8 @@
 	load bhwire.Room
 	// wait is the expected wait for a slot there.
 	wait time.Duration
+	// standing is how the request stands among the callers, if all engines were full.
+	standing bhshare.Standing
 }
 
 // logPairs returns the choice as names and values of a log line, or nil if no
@@ -142,7 +160,11 @@
 	if c.asked == 0 {
 		return nil
 	}
-	return []any{"asked", c.asked, "told", c.answered, "slots", c.load.Slots, "live", c.load.Live, "items", c.load.Items, "room_age", c.load.Age, "wait", c.wait}
+	pairs := []any{"asked", c.asked, "told", c.answered, "slots", c.load.Slots, "live", c.load.Live, "items", c.load.Items, "room_age", c.load.Age, "wait", c.wait}
+	if c.standing.Accounts > 0 {
+		pairs = append(pairs, "own", c.standing.Own, "fair", c.standing.Fair, "accounts", c.standing.Accounts, "urgent", c.standing.Urgent, "yields", c.standing.Yields())
+	}
+	return pairs
 }
 
 // runnerAddresses returns the addresses of the runners beside the instances, as
--- a/bhgate/choose_upstream_test.go
+++ b/bhgate/choose_upstream_test.go
@@ -23,6 +23,8 @@
 type fakeEngineLoads struct {
 	loads    map[netip.AddrPort]bhwire.Room
 	reserved []netip.AddrPort
+	// callers are those of the announced requests.
+	callers []bhwire.Reserve
 
 	mu     sync.Mutex
 	faults []netip.AddrPort
@@ -34,7 +36,9 @@
 }
 
 // Reserve implements EngineLoads.
-func (f *fakeEngineLoads) Reserve(runner netip.AddrPort) { f.reserved = append(f.reserved, runner) }
+func (f *fakeEngineLoads) Reserve(runner netip.AddrPort, caller bhwire.Reserve) {
+	f.reserved, f.callers = append(f.reserved, runner), append(f.callers, caller)
+}
 
 // Fault implements EngineLoads.
 func (f *fakeEngineLoads) Fault(runner netip.AddrPort) {
--- a/bhgate/engine_loads.go
+++ b/bhgate/engine_loads.go
@@ -20,9 +20,9 @@
 	// Query returns the loads that the runners report within a few milliseconds.
 	// Runners that don't answer in time are missing from the result.
 	Query(ctx context.Context, runners []netip.AddrPort) map[netip.AddrPort]bhwire.Room
-	// Reserve announces a live request to the runner, which pauses a batch item if
-	// all slots of its engine are taken.
-	Reserve(runner netip.AddrPort)
+	// Reserve announces a live request of the caller to the runner, which pauses a
+	// batch item if all slots of its engine are taken.
+	Reserve(runner netip.AddrPort, caller bhwire.Reserve)
 	// Fault reports to the runner that a request failed at its engine, or got no
 	// first event in time.
 	Fault(runner netip.AddrPort)
@@ -49,8 +49,8 @@
 }
 
 // Reserve implements EngineLoads.
-func (p *PeerEngineLoads) Reserve(runner netip.AddrPort) {
-	p.Socket.Tell(bhwire.KindReserve, nil, runner)
+func (p *PeerEngineLoads) Reserve(runner netip.AddrPort, caller bhwire.Reserve) {
+	p.Socket.Tell(bhwire.KindReserve, caller, runner)
 }
 
 // Fault implements EngineLoads.
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -92,6 +92,7 @@
 	config   Config
 	metrics  metrics
 	times    *serviceTimes
+	weights  accountWeights
 	inflight bhdrain.Inflight
 	draining chan struct{}
 }
@@ -100,7 +101,7 @@
 // upstreams.
 func New(config Config) *Gate {
 	if config.Admission == nil {
-		config.Admission = &bhadmit.Admission[bhadmit.ByObjective]{}
+		config.Admission = &bhadmit.Admission[bhadmit.Ordered[bhadmit.ByObjective]]{}
 	}
 	if config.Origins == nil {
 		config.Origins = bhorigin.NewRegistry(bhorigin.Config{Clock: config.Clock, Logger: config.Logger, Scope: config.Scope})
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 )
 
 // metrics are a gate's counters and histograms.
@@ -14,8 +15,9 @@
 	served      tally.Counter
 	clientsGone tally.Counter
 	sends       tally.Counter
-	// notAdmitted counts requests refused because all engines asked were full.
-	notAdmitted tally.Counter
+	// notAdmitted counts requests refused because all engines asked were full, by the
+	// reason for which they yielded to other callers.
+	notAdmitted map[bhshare.Reason]tally.Counter
 	// limited counts requests refused because of the limits that upstreams name.
 	limited tally.Counter
 	// takenUp counts the streams that clients took up, originUnknown those of them
@@ -31,11 +33,15 @@
 	for code := range bhcode.All() {
 		failures[code] = scope.Tagged(map[string]string{"code": code.String()}).Counter("gate_failures")
 	}
+	notAdmitted := make(map[bhshare.Reason]tally.Counter)
+	for _, reason := range bhshare.Reasons() {
+		notAdmitted[reason] = scope.Tagged(map[string]string{"yields": reason.String()}).Counter("gate_not_admitted")
+	}
 	return metrics{
 		served:        scope.Counter("gate_served"),
 		clientsGone:   scope.Counter("gate_clients_left"),
 		sends:         scope.Counter("gate_sends"),
-		notAdmitted:   scope.Counter("gate_not_admitted"),
+		notAdmitted:   notAdmitted,
 		limited:       scope.Counter("gate_limited"),
 		takenUp:       scope.Counter("gate_streams_taken_up"),
 		originUnknown: scope.Counter("gate_origins_unknown"),
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
@@ -123,6 +124,7 @@
 	// leaving reports that the engine is draining and takes no new requests.
 	leaving bool
 	load    engineLoad
+	callers bhshare.Ledger
 	// freeSlots is the number of further items that the engine can take.
 	freeSlots   int
 	suspicion   suspicion
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -21,6 +21,7 @@
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhstand"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
+	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
 var dialect = bhforward.Dialect{
@@ -198,7 +199,7 @@
 		capacity := r.runner.capacity()
 		return capacity.Slots == 2 && capacity.Items == 2 && capacity.Live == 0
 	}, 30*time.Second, time.Millisecond)
-	r.runner.reserve()
+	r.runner.reserve(bhwire.Reserve{})
 	capacity := r.runner.capacity()
 	assert.Equal(t, 1, capacity.Items, "an item is paused before the engine's next report")
 	assert.Equal(t, 1, capacity.Live)
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -123,8 +123,8 @@
 // requests and their reports of faults. It must be called before the socket runs.
 func (r *Runner) RegisterHandlers(socket *bhpeer.Socket) {
 	socket.Handle(bhwire.KindAsk, func(bhwire.Frame) (bhwire.Kind, any) { return bhwire.KindRoom, r.capacity() })
-	socket.Handle(bhwire.KindReserve, func(bhwire.Frame) (bhwire.Kind, any) {
-		r.reserve()
+	socket.Handle(bhwire.KindReserve, func(frame bhwire.Frame) (bhwire.Kind, any) {
+		r.reserve(r.decodeReserve(frame))
 		return "", nil
 	})
 	socket.Handle(bhwire.KindFault, func(bhwire.Frame) (bhwire.Kind, any) {
@@ -145,18 +145,21 @@
 	defer r.mu.Unlock()
 	active, _ := r.countActive()
 	now := r.config.Clock.Now()
+	live := r.load.live()
 	return bhwire.Room{
-		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: r.load.live(), Items: active, Age: now - r.load.requestedAt,
+		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: live, Callers: r.contenders(live), Oldest: r.oldest(live, now), Items: active, Age: now - r.load.requestedAt,
 		Limited: limit.Named, Limit: limit.Rate, Heard: heard, Wait: limit.Wait,
 	}
 }
 
-// reserve records that a live request is on its way to the engine, and pauses
-// an item at once if all slots are occupied.
-func (r *Runner) reserve() {
+// reserve records that a live request of the caller is on its way to the engine, and
+// pauses an item at once if all slots are occupied.
+func (r *Runner) reserve(caller bhwire.Reserve) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.load.reserve(r.config.Clock.Now())
+	now := r.config.Clock.Now()
+	r.callers.Announce(caller.Account, caller.Priority, now)
+	r.load.reserve(now)
 	active, _ := r.countActive()
 	excess := r.load.live() + active - r.slots
 	r.freeSlots = max(0, min(r.freeSlots, -excess))
--- a/bhshare/share.go
+++ b/bhshare/share.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -103,6 +104,9 @@
 	Share
 )
 
+// Reasons returns all reasons.
+func Reasons() []Reason { return []Reason{None, Priority, Share} }
+
 // String returns the reason as logs and metrics name it.
 func (r Reason) String() string {
 	switch r {
@@ -140,24 +144,45 @@
 // It is not safe for concurrent use.
 type Ledger struct {
 	// announced holds the newest announcements, the oldest first.
-	announced []slot
+	announced []announcement
+}
+
+// announcement is a request that was announced at a time.
+type announcement struct {
+	slot
+	at time.Duration
 }
 
-// Announce adds a request of the account with the priority.
-func (l *Ledger) Announce(account uint32, priority int) {
+// Announce adds a request of the account with the priority, announced at now.
+func (l *Ledger) Announce(account uint32, priority int, now time.Duration) {
 	if len(l.announced) == maxAnnounced {
 		l.announced = slices.Delete(l.announced, 0, maxAnnounced/2)
 	}
-	l.announced = append(l.announced, slot{account, priority})
+	l.announced = append(l.announced, announcement{slot{account, priority}, now})
+}
+
+// newest returns the announcements of an engine that has the number of live requests.
+func (l *Ledger) newest(live int) []announcement {
+	return l.announced[max(0, len(l.announced)-max(0, live)):]
+}
+
+// Oldest returns when the oldest request of an engine that has the number of live
+// requests was announced, or false if there is none or it isn't known.
+func (l *Ledger) Oldest(live int) (time.Duration, bool) {
+	newest := l.newest(live)
+	if len(newest) == 0 || len(newest) < live {
+		return 0, false
+	}
+	return newest[0].at, true
 }
 
 // Callers returns the known callers of an engine that has the number of live requests,
-// in a fixed order.
+// those with the most first.
 func (l *Ledger) Callers(live int) []Caller {
 	counts := make(map[slot]int)
-	for _, announced := range l.announced[max(0, len(l.announced)-max(0, live)):] {
+	for _, announced := range l.newest(live) {
 		if announced.account != Unknown {
-			counts[announced]++
+			counts[announced.slot]++
 		}
 	}
 	callers := make([]Caller, 0, len(counts))
@@ -165,7 +190,7 @@
 		callers = append(callers, Caller{Account: caller.account, Priority: caller.priority, Live: count})
 	}
 	slices.SortFunc(callers, func(a, b Caller) int {
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Account, b.Account))
+		return cmp.Or(cmp.Compare(b.Live, a.Live), cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.Account, b.Account))
 	})
 	return callers
 }
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -16,6 +16,18 @@
 	Version string `json:"version"`
 }
 
+// Caller is what an account has at an engine with one priority.
+type Caller struct {
+	// Short name of the account: a hash.
+	Account uint32 `json:"account"`
+
+	// Live requests that run, wait or were announced.
+	Live int `json:"live"`
+
+	// Priority of the requests; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
 // Draw asks another gateway for one token of an account.
 type Draw struct {
 	// Name of the account.
@@ -122,16 +134,30 @@
 	Wait time.Duration `json:"wait"`
 }
 
+// Reserve tells a runner whose live request is on its way to the engine. It isn't
+// answered.
+type Reserve struct {
+	// Short name of the account: a hash.
+	Account uint32 `json:"account"`
+
+	// Priority of the request; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
 // Room is what an engine has left for live requests, as the runner beside it sees
 // it. It answers an ask frame with the same stream number. A reserve frame
-// announces one live request, and a fault frame reports that one failed at the
-// engine or has no first event in time. Frames about rooms, draws, the origins of
-// streams and crashes travel in datagrams, asks, reserves and faults without a
-// body.
+// announces one live request, with a Reserve as its body or, from older versions,
+// none. A fault frame reports that one failed at the engine or has no first event
+// in time. Frames about rooms, draws, the origins of streams and crashes travel in
+// datagrams, asks and faults without a body.
 type Room struct {
 	// Time since the engine was asked for its load.
 	Age time.Duration `json:"age"`
 
+	// Whose the live requests are, as far as the runner knows; only if no slot is
+	// left for live requests.
+	Callers []Caller `json:"callers,omitempty,omitzero"`
+
 	// Time since the answer that said so; 0 if the runner has heard of no limit.
 	Heard time.Duration `json:"heard"`
 
@@ -150,6 +176,10 @@
 	// Live requests that run, wait or were announced.
 	Live int `json:"live"`
 
+	// Time since the oldest of the live requests was announced; only if no slot is
+	// left for live requests, and 0 if it isn't known.
+	Oldest time.Duration `json:"oldest"`
+
 	// Requests that the engine runs at once; 0 if the runner doesn't know its engine.
 	Slots int `json:"slots"`
 
