--- a/bhadmit/admission.go
+++ b/bhadmit/admission.go
@@ -95,13 +95,13 @@
 const overdue = 1.5
 
 // NextFree estimates how long a full engine takes to free its next slot: until its
-// oldest request has taken the usual time. Where that is unknown or overdue, no request
-// is taken to end sooner than one that starts now.
+// oldest request has taken the usual time, which may have been before now. Where that is
+// unknown or overdue, no request is taken to end sooner than one that starts now.
 func (t *Times) NextFree(engine Engine) time.Duration {
 	if engine.Oldest > time.Duration(overdue*float64(t.Whole)) {
 		return t.Whole
 	}
-	return max(0, t.Whole-engine.Oldest)
+	return t.Whole - engine.Oldest
 }
 
 // Less reports whether a has less to do than b before it takes a request: fewer live
--- a/bhadmit/admission_test.go
+++ b/bhadmit/admission_test.go
@@ -113,3 +113,15 @@
 	assert.False(t, admission.Decide(Request{Deadline: time.Second}, Engine{Slots: 8, Live: 12}, times).Admitted, "can't end before the deadline")
 	assert.True(t, admission.Decide(Request{Deadline: 2 * time.Second}, Engine{Slots: 8, Live: 12}, times).Admitted, "there is no objective")
 }
+
+func TestFullEngineWithTheOldestRequestIsFreeSoonest(t *testing.T) {
+	times := Times{First: 50 * time.Millisecond, Whole: 800 * time.Millisecond}
+	engine := func(live int, oldest time.Duration) Engine { return Engine{Slots: 8, Live: live, Oldest: oldest} }
+	assert.True(t, times.Less(engine(8, 600*time.Millisecond), engine(8, 300*time.Millisecond)))
+	assert.True(t, times.Less(engine(8, time.Second), engine(8, 800*time.Millisecond)), "due for longer")
+	assert.True(t, times.Less(engine(8, 300*time.Millisecond), engine(8, 3*time.Second)), "an engine that hangs")
+	assert.True(t, times.Less(engine(8, 300*time.Millisecond), engine(8, 0)), "nothing is known of the other")
+	assert.True(t, times.Less(engine(8, 0), engine(9, 700*time.Millisecond)))
+	assert.False(t, times.Less(engine(3, 700*time.Millisecond), engine(3, 0)), "slots are free at both")
+	assert.True(t, times.Less(Engine{Slots: 16, Live: 16}, engine(9, 700*time.Millisecond)), "fewer for its slots")
+}
