--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 	"github.com/baobabhaven/baobabhaven/bhspool"
 )
 
@@ -17,8 +18,9 @@
 	// stalled counts the answers that broke off because their client read too slowly.
 	stalled tally.Counter
 	sends   tally.Counter
-	// notAdmitted counts requests refused because all engines asked were full.
-	notAdmitted tally.Counter
+	// notAdmitted counts requests refused because all engines asked were full, by the
+	// reason for which they yielded to other callers.
+	notAdmitted map[bhshare.Reason]tally.Counter
 	// limited counts requests refused because of the limits that upstreams name.
 	limited tally.Counter
 	// evacuated counts requests refused because their upstreams are all in evacuated data
@@ -47,6 +49,10 @@
 	for code := range bhcode.All() {
 		failures[code] = scope.Tagged(map[string]string{"code": code.String()}).Counter("gate_failures")
 	}
+	notAdmitted := make(map[bhshare.Reason]tally.Counter)
+	for _, reason := range bhshare.Reasons() {
+		notAdmitted[reason] = scope.Tagged(map[string]string{"yields": reason.String()}).Counter("gate_not_admitted")
+	}
 	return metrics{
 		served:        scope.Counter("gate_served"),
 		clientsGone:   scope.Counter("gate_clients_left"),
@@ -55,7 +61,7 @@
 		heldDenied:    scope.Gauge("gate_held_denied"),
 		heldYielded:   scope.Gauge("gate_held_yielded"),
 		sends:         scope.Counter("gate_sends"),
-		notAdmitted:   scope.Counter("gate_not_admitted"),
+		notAdmitted:   notAdmitted,
 		limited:       scope.Counter("gate_limited"),
 		evacuated:     scope.Counter("gate_evacuated"),
 		takenUp:       scope.Counter("gate_streams_taken_up"),
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhshare"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
@@ -130,6 +131,7 @@
 	// centre is evacuated.
 	leaving bool
 	load    engineLoad
+	callers bhshare.Ledger
 	// freeSlots is the number of further items that the engine can take.
 	freeSlots   int
 	suspicion   suspicion
