--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -115,6 +115,8 @@
 	Framing Framing
 	// Reused reports that the request was sent on an idle connection of the pool.
 	Reused bool
+	// Skipped is how many answers to earlier requests came before this one.
+	Skipped int
 
 	pool         *Pool
 	conn         *conn
@@ -183,7 +185,7 @@
 	if timeout, ok := keepAliveTimeout(response.Header); ok {
 		c.idleTimeout = min(maxDeclaredIdleTimeout, timeout)
 	}
-	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: FramingOf(response), pool: p, conn: c, reusable: reusable}
+	answer := &Answer{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Framing: FramingOf(response), Skipped: skipped, pool: p, conn: c, reusable: reusable}
 	answer.Body = &bodyReader{body: response.Body, answer: answer}
 	return answer, nil
 }
--- a/bhforward/rest_test.go
+++ b/bhforward/rest_test.go
@@ -71,6 +71,7 @@
 			}
 			require.NoError(t, err)
 			assert.True(t, answer.Reused)
+			assert.Positive(t, answer.Skipped)
 			assert.Equal(t, "second", answer.Header.Get("X-Request-Id"))
 			assert.Equal(t, c.want, readAndClose(t, answer))
 			assert.False(t, pool.Idle(upstream.address(), time.Minute), "the connection isn't used again")
--- a/bhgate/connections.go
+++ b/bhgate/connections.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -87,6 +88,10 @@
 	} else {
 		c.gate.metrics.connected.Inc(1)
 	}
+	if answer.Skipped > 0 {
+		c.gate.metrics.strays.Inc(int64(answer.Skipped))
+		bhlog.Event(c.gate.config.Logger, "answer.skipped", "request", c.id, "upstream", c.upstream, "answers", answer.Skipped)
+	}
 }
 
 // SampleWith draws engineSampleSize usable instances like Sample, of which up to
--- a/bhgate/metrics.go
+++ b/bhgate/metrics.go
@@ -30,7 +30,9 @@
 	connected tally.Counter
 	reused    tally.Counter
 	forgotten tally.Counter
-	duration  tally.Histogram
+	// strays counts the answers to earlier requests that came on a reused connection.
+	strays   tally.Counter
+	duration tally.Histogram
 	// held is what the gateway holds for its clients, in bytes; heldDenied and heldYielded
 	// follow the counts of the budget.
 	held        tally.Gauge
@@ -59,6 +61,7 @@
 		connected:     scope.Counter("gate_connections_new"),
 		reused:        scope.Counter("gate_connections_reused"),
 		forgotten:     scope.Counter("gate_connections_forgotten"),
+		strays:        scope.Counter("gate_answers_skipped"),
 		duration:      scope.Histogram("gate_seconds", tally.MustMakeExponentialDurationBuckets(5*time.Millisecond, 2, 12)),
 		failures:      failures,
 	}
