Streams: a wait for a slow client is no silence of the upstream

A client that didn't read for a second blocked the relay, so that the silence timer cancelled the attempt and cut a sound stream. The timer stands while the client is waited for. TestWaitForTheClientIsNoSilenceOfTheUpstream fails without it.

--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -363,11 +363,12 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := current.answer.Body.Read(buffer)
-		current.timer.reset()
 		if n > 0 {
+			current.timer.stop() // a wait for the client is no silence of the upstream
 			if err := c.outbox().push(buffer[:n]); err != nil {
 				return err
 			}
+			current.timer.reset()
 		}
 		switch {
 		case err == io.EOF:
--- a/bhgate/outbox_test.go
+++ b/bhgate/outbox_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -143,3 +144,62 @@
 	assert.Less(t, time.Since(startedAt), 2*time.Second)
 	assert.Zero(t, upstream.count())
 }
+
+// 8 clients of which 3 don't read, before a budget of 4 MB: what is held keeps to it, and
+// the others get their whole answers meanwhile.
+func TestSlowReadersLeaveRoomForOthers(t *testing.T) {
+	const total, size = 4 << 20, 8 << 20
+	var done atomic.Int32
+	upstream := newUpstream(t, streamed(size, &done))
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, upstream)
+	g.bounded(total)
+	for i := range 3 {
+		dialGate(t, g, fmt.Sprintf("slow-%d", i))
+	}
+	var most atomic.Int64
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		for done.Load() < 5 && t.Context().Err() == nil {
+			usage := g.gate.config.Budget.Usage()
+			most.Store(max(most.Load(), usage.Shared))
+			time.Sleep(time.Millisecond)
+		}
+	}()
+	var clients sync.WaitGroup
+	for i := range 5 {
+		clients.Go(func() {
+			response, body, err := g.do(g.request("/a/x", func(r *http.Request) {
+				r.Header.Set("Request-Id", fmt.Sprintf("fast-%d", i))
+				r.Header.Set("Deadline", "20000")
+			}))
+			if assert.NoError(t, err) {
+				assert.Equal(t, http.StatusOK, response.StatusCode)
+				assert.Greater(t, len(body), size)
+			}
+		})
+	}
+	clients.Wait()
+	<-watched
+	assert.LessOrEqual(t, most.Load(), int64(total))
+	assert.Positive(t, most.Load())
+}
+
+// Guards against a stream whose client reads slowly and whose upstream was taken for
+// silent, because it had to wait for that client.
+func TestWaitForTheClientIsNoSilenceOfTheUpstream(t *testing.T) {
+	var done atomic.Int32
+	size := 24 << 20
+	upstream := newUpstream(t, streamed(size, &done))
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, upstream)
+	g.bounded(1 << 20)
+	conn := dialGate(t, g, "r1")
+	time.Sleep(streamSilenceTimeout * 3 / 2)
+	require.Zero(t, done.Load(), "the upstream waits")
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	read, err := io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	assert.Greater(t, read, int64(size))
+	assert.Equal(t, 1, upstream.count())
+}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -86,11 +86,12 @@
 	})
 	for {
 		events, err := reader.Next()
-		if len(events) > 0 {
-			current.timer.reset() // bytes that become no event are silence
-		}
-		if failure := c.writeEvents(events); failure != nil {
-			return failure
+		if len(events) > 0 { // bytes that become no event are silence
+			current.timer.stop() // a wait for the client isn't
+			if failure := c.writeEvents(events); failure != nil {
+				return failure
+			}
+			current.timer.reset()
 		}
 		switch {
 		case err == io.EOF:
@@ -106,9 +107,6 @@
 }
 
 func (c *call) writeEvents(events []byte) error {
-	if len(events) == 0 {
-		return nil
-	}
 	c.engineWatch.answered()
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = time.Now()
