--- a/bhquota/limiter.go
+++ b/bhquota/limiter.go
@@ -173,13 +173,12 @@
 	unclear := Decision{RetryAfter: least + rand.N(retrySpread), Unknown: true}
 	switch {
 	case s == nil:
-		unclear.Unknown = false
 		return unclear
 	case !s.storeReached():
 		unclear.RetryAfter = unreachableRetryAfter + rand.N(retrySpread)
 		return unclear
 	}
-	wait, over := s.refuse(account.Rate)
+	wait, over := s.refuse(account.Rate, len(order.before) > 0)
 	if !over {
 		// Where several gateways keep tokens, none can tell.
 		unclear.Unknown = order.central
--- a/bhquota/syncer.go
+++ b/bhquota/syncer.go
@@ -213,12 +213,15 @@
 	notify(s.requestsWaiting)
 }
 
-// refuse records a refused request of this gateway. It returns when a token accrues for
-// it, and whether the account has used up its tokens, as far as this gateway or the one
-// that it draws from knows. The rate is in tokens per second.
-func (s *syncer) refuse(rate float64) (wait time.Duration, over bool) {
-	if wait, over := s.drawer.refuse(rate); over {
-		return wait, true
+// refuse records a refused request of this gateway, which may have drawn from others. It
+// returns when a token accrues for it, and whether the account has used up its tokens, as
+// far as this gateway or the one that it draws from knows. The rate is in tokens per
+// second.
+func (s *syncer) refuse(rate float64, draws bool) (wait time.Duration, over bool) {
+	if draws {
+		if wait, over := s.drawer.refuse(rate); over {
+			return wait, true
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
