Rates: a lease without a rate takes no room from the bucket

Cause: while a silent keeper's lease lasts, no rate is left to lease, but the next gateway's lease still kept capacity for tokens to accrue, so that the 0.15 of the rate that refills the bucket was cut off. Change: no capacity without a rate; a gateway's first round for an account comes without a delay; the tests' fleet leaves resting gateways out of the order, as the directory does.

--- a/bhquota/fleet_test.go
+++ b/bhquota/fleet_test.go
@@ -65,6 +65,7 @@
 	frozenUntil time.Time
 	cutOff      bool
 	dead        bool
+	restUntil   map[netip.AddrPort]time.Time
 }
 
 func newFleet(t *testing.T, store *bhstand.Store, accounts ...bhpolicy.Account) *fleet {
@@ -118,11 +119,12 @@
 		peer.mu.Lock()
 		dead := peer.dead
 		peer.mu.Unlock()
+		address := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
 		switch {
 		case peer == g:
 			peers = append(peers, netip.AddrPort{})
-		case !dead || i%2 == 0: // dead gateways at even positions are still listed
-			peers = append(peers, netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)))
+		case !g.rests(address) && (!dead || i%2 == 0): // dead gateways at even positions are still listed
+			peers = append(peers, address)
 		}
 	}
 	return peers
@@ -167,8 +169,22 @@
 	return f.drawCount%50 == 0
 }
 
-// Rest implements Peers and does nothing.
-func (g *gateway) Rest(netip.AddrPort) {}
+// Rest implements Peers. Order leaves the peer out for a second.
+func (g *gateway) Rest(peer netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.restUntil == nil {
+		g.restUntil = make(map[netip.AddrPort]time.Time)
+	}
+	g.restUntil[peer] = time.Now().Add(time.Second)
+}
+
+// rests reports whether the peer was given to Rest in the last second.
+func (g *gateway) rests(peer netip.AddrPort) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Now().Before(g.restUntil[peer])
+}
 
 // close stops the gateways and the store.
 func (f *fleet) close() {
--- a/bhquota/jump_test.go
+++ b/bhquota/jump_test.go
@@ -271,3 +271,27 @@
 	f.gateways = nil
 	return killed
 }
+
+// The first two gateways of the order are silent. The third one has half of the bucket and
+// 0.15 of the rate for the others, which is more than is asked for.
+func TestAccountGoesOnWhileTheFirstTwoGatewaysAreSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		account := bhpolicy.Account{Name: "zoo", Rate: 220, Burst: 220}
+		f := newFleet(t, bhstand.NewStore(bhstand.StoreConfig{Latency: 4 * time.Millisecond}), account)
+		for range 31 {
+			f.addGateway()
+		}
+		all := f.gateways
+		time.Sleep(lead)
+		for _, g := range all[:2] {
+			g.mu.Lock()
+			g.frozenUntil = time.Now().Add(4 * time.Second)
+			g.mu.Unlock()
+		}
+		f.gateways = all[2:]
+		sent, granted := f.sendRequests(rand.New(rand.NewPCG(37, 37)), "zoo", 44, 4*time.Second)
+		assert.Equal(t, sent, granted)
+		f.gateways = all
+		f.close()
+	})
+}
--- a/bhquota/shared_bucket.go
+++ b/bhquota/shared_bucket.go
@@ -284,6 +284,9 @@
 		// What the holder may accrue must not displace tokens of the bucket.
 		Cap: max(0, min(target.cap, limit.capacity-otherTokens-b.Level)),
 	}
+	if newLease.Rate <= 0 {
+		newLease.Cap = 0 // nothing accrues there, and the bucket needs the room
+	}
 	b.Level = max(0, min(b.Level, limit.capacity-otherTokens-newLease.maxTokens()))
 	b.Leases[holder] = newLease
 	return newLease
--- a/bhquota/syncer.go
+++ b/bhquota/syncer.go
@@ -324,8 +324,12 @@
 // was done first.
 func (s *syncer) waitForNextRound(ctx context.Context) bool {
 	delay := minRoundDelay
-	if s.lastRoundFailed {
+	switch {
+	case s.lastRoundFailed:
 		delay = failedRoundDelay
+	case s.serial == 0:
+		// Another gateway's request may have waited for a silent one before.
+		delay = 0
 	}
 	if s.tokensShort {
 		// The shared bucket is empty, so an earlier round would get nothing.
