--- a/bhquota/syncer.go
+++ b/bhquota/syncer.go
@@ -213,12 +213,15 @@
 	notify(s.requestsWaiting)
 }
 
-// refuse records a refused request of this gateway. It returns when a token accrues for
-// it, and whether the account has used up its tokens, as far as this gateway or the one
-// that it draws from knows. The rate is in tokens per second.
-func (s *syncer) refuse(rate float64) (wait time.Duration, over bool) {
-	if wait, over := s.drawer.refuse(rate); over {
-		return wait, true
+// refuse records a refused request of this gateway, which may have drawn from others. It
+// returns when a token accrues for it, and whether the account has used up its tokens, as
+// far as this gateway or the one that it draws from knows. The rate is in tokens per
+// second.
+func (s *syncer) refuse(rate float64, draws bool) (wait time.Duration, over bool) {
+	if draws {
+		if wait, over := s.drawer.refuse(rate); over {
+			return wait, true
+		}
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -321,8 +324,12 @@
 // was done first.
 func (s *syncer) waitForNextRound(ctx context.Context) bool {
 	delay := minRoundDelay
-	if s.lastRoundFailed {
+	switch {
+	case s.lastRoundFailed:
 		delay = failedRoundDelay
+	case s.serial == 0:
+		// Another gateway's request may have waited for a silent one before.
+		delay = 0
 	}
 	if s.tokensShort {
 		// The shared bucket is empty, so an earlier round would get nothing.
