Soak: a data centre is evacuated in each run

Engines have a data centre each. It draws from a random source of its own, so that the faults of fixed seeds stay as they were.

--- a/bhstand/store.go
+++ b/bhstand/store.go
@@ -188,8 +188,13 @@
 	return nil
 }
 
-// Force sets a record whatever faults are configured, as others than the fleet do.
+// Force sets a record whatever faults are configured, as others than the fleet do. A nil value
+// removes it.
 func (s *Store) Force(key bhplatform.Key, value []byte) error {
+	if value == nil {
+		_, err := s.apply(bhplatform.Transaction{Deletes: []bhplatform.Key{key}})
+		return err
+	}
 	_, err := s.apply(bhplatform.Transaction{Puts: []bhplatform.Put{{Key: key, Value: value}}})
 	return err
 }
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -90,6 +90,7 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	e.record.reachedEvacuated(e.id, id)
 	if !e.admit(r) {
 		w.Header().Set("X-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -82,11 +81,7 @@
 		record = &limitRecord{engine: engine, limit: limit, from: now}
 		r.limits[key] = record
 	}
-	sender := strings.Replace(engine, "i-", "runner-", 1)
-	if a := r.attempts[id]; a != nil && a.gateway != "" {
-		sender = a.gateway
-	}
-	record.arrivals = append(record.arrivals, limitArrival{at: now, sender: sender})
+	record.arrivals = append(record.arrivals, limitArrival{at: now, sender: r.senderOf(engine, id)})
 }
 
 // interrupt notes that something was restarted, frozen or cut off until the returned function
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -63,6 +63,7 @@
 	// and engines meanwhile.
 	limits      map[string]*limitRecord
 	interrupted map[string][]span
+	evacuations []*evacuation
 	// streams counts what became of streams that may be resumed.
 	streams counts
 }
@@ -197,6 +198,7 @@
 	}
 	r.faults = append(r.faults, r.checkCrashes()...)
 	r.faults = append(r.faults, r.checkLimits()...)
+	r.faults = append(r.faults, r.checkEvacuations()...)
 	for tenant, rate := range rates {
 		most, bound := r.busiest(tenant), (rate*quotaWindow.Seconds()+rate)*(1+quotaOver)+quotaSlack
 		if float64(most) > bound {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -211,6 +211,7 @@
 	}
 	prompts := newClient(w, "prompt", seed*10+6)
 	jobs.Go(func() { prompts.sendLethalPrompts(lethal, "zoo") })
+	jobs.Go(func() { w.evacuate(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
 	clients.Wait()
 	w.calm()
@@ -410,7 +411,7 @@
 	born := e.born
 	e.mu.Unlock()
 	require.NoError(w.t, w.store.put("servers", e.id, map[string]any{
-		"service": "llm", "address": e.address, "zone": "z", "version": e.version, "slots": engineSlots, "state": state, "born": born,
+		"service": "llm", "address": e.address, "zone": centre(e.id), "version": e.version, "slots": engineSlots, "state": state, "born": born,
 	}))
 }
 
--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -68,6 +68,11 @@
 	return s.store.Force(bhplatform.Key{Table: table, Name: key}, data)
 }
 
+// remove removes a row as the operator does, past all trouble.
+func (s *storeServer) remove(table, key string) error {
+	return s.store.Force(bhplatform.Key{Table: table, Name: key}, nil)
+}
+
 // ServeHTTP implements http.Handler.
 func (s *storeServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
