--- a/bhcap/ledger.go
+++ b/bhcap/ledger.go
@@ -186,7 +186,7 @@
 		return Decision{Granted: true}
 	}
 	known.demand.add(ask.Class, now)
-	if decision := l.look(known, limits, ask.Class, now); decision.Wait > min(ask.Patience, maxPatience) {
+	if decision := l.look(known, limits, ask.Class, now); decision.Wait > max(0, min(ask.Patience, maxPatience)) {
 		return decision
 	}
 	delay := time.Duration(0)
--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -142,8 +142,8 @@
 	// is paused for a live request, but produces nothing for about 50 ms when it
 	// resumes.
 	itemWeight = 0.6
-	// coldScore is the share of its slots that counts as taken while an instance is cold
-	// after its start, and slow.
+	// coldScore is the share of its slots that counts as taken while an engine is cold after
+	// its start, and slow.
 	coldScore = 0.3
 	// otherCentreScore and jitterScore only decide between instances of equal
 	// load.
@@ -162,7 +162,7 @@
 	if instance.Zone != b.centre {
 		score += otherCentreScore
 	}
-	if instance.Cold > 0 || loads[instance.RunnerAddr].Cold > 0 {
+	if loads[instance.RunnerAddr].Cold > 0 {
 		score += coldScore
 	}
 	if now.Before(upstream.backoffUntil) {
--- a/bhgate/choose_upstream_test.go
+++ b/bhgate/choose_upstream_test.go
@@ -58,6 +58,7 @@
 		{"the engine in the gate's own data centre is full", map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Live: 8}, runnerAddress(1): {Slots: 8, Live: 3, Age: 7 * time.Millisecond}}, 1},
 		{"the engine in the other data centre is full", map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Live: 3}, runnerAddress(1): {Slots: 8, Live: 8}}, 0},
 		{"the emptiest engine's runner says that it is leaving", map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Leaving: true}, runnerAddress(1): {Slots: 8, Live: 3, Age: 7 * time.Millisecond}}, 1},
+		{"the engine in the gate's own data centre is cold", map[netip.AddrPort]bhwire.Room{runnerAddress(0): {Slots: 8, Live: 2, Cold: time.Second}, runnerAddress(1): {Slots: 8, Live: 3, Age: 7 * time.Millisecond}}, 1},
 		{"no engine reports its load", nil, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
