--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -158,6 +158,8 @@
 	preferredRequests = 0.25
 	// coldScore is the share of its slots that counts as taken while an instance is cold
 	// after its start, and slow.
+	// coldScore is the share of its slots that counts as taken while an engine is cold after
+	// its start, and slow.
 	coldScore = 0.3
 	// otherCentreScore and jitterScore only decide between instances of equal
 	// load.
@@ -176,7 +178,7 @@
 	if instance.Zone != b.centre {
 		score += otherCentreScore
 	}
-	if instance.Cold > 0 || loads[instance.RunnerAddr].Cold > 0 {
+	if loads[instance.RunnerAddr].Cold > 0 {
 		score += coldScore
 	}
 	if now.Before(upstream.backoffUntil) {
