--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -156,8 +156,6 @@
 	// preferredRequests is the load, in live requests, that a preferred instance may have
 	// above that of others.
 	preferredRequests = 0.25
-	// coldScore is the share of its slots that counts as taken while an instance is cold
-	// after its start, and slow.
 	// coldScore is the share of its slots that counts as taken while an engine is cold after
 	// its start, and slow.
 	coldScore = 0.3
