--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -196,7 +196,7 @@
 }
 
 func newHost(file *bhhost.File, interval time.Duration, metrics *bhmetric.Metrics, logger bhlog.Logger) *hosted {
-	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }})
+	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }, Scope: metrics.Scope})
 	clock := bhclock.Boot{}
 	return &hosted{
 		file:    file,
@@ -259,7 +259,7 @@
 		Index:  h.index,
 		Tolerance: func() bhquota.Tolerance {
 			settings := h.file.Current()
-			return bhquota.Tolerance{Over: settings.QuotaOver, Slack: settings.QuotaSlack}
+			return bhquota.Tolerance{Over: settings.QuotaOver, Slack: settings.QuotaSlack, Window: settings.QuotaWindow}
 		},
 		Peers:  &bhquota.PeerGateways{Directory: directory, Socket: socket, Logger: h.logger},
 		Clock:  h.clock,
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -27,8 +27,8 @@
 	Listener net.Listener
 	// IdleTimeout returns how long a connection may be idle.
 	IdleTimeout func() time.Duration
-	// WriteBuffer is how much the kernel holds for a caller that doesn't read, in bytes;
-	// 0 leaves it to the kernel.
+	// WriteBuffer is the size in bytes of a connection's buffer for writes; zero leaves it
+	// to the system.
 	WriteBuffer int
 }
 
