--- a/bhadmit/admission.go
+++ b/bhadmit/admission.go
@@ -161,8 +161,9 @@
 	// one engine frees a slot.
 	minRetryAfter = 150 * time.Millisecond
 	// retryPart is the part of the remaining time that clients are willing to wait
-	// for a retry.
-	retryPart = 3
+	// for a retry, and retryEarliest the part of that after which they return.
+	retryPart     = 3
+	retryEarliest = 0.75
 )
 
 // RetryAfter returns when a refused client should come back that waits until the
@@ -177,7 +178,7 @@
 // spreadRetry is RetryAfter with a random number from 0 up to 1.
 func spreadRetry(deadline, wait time.Duration, random float64) time.Duration {
 	latest := deadline / retryPart
-	earliest := min(latest, max(minRetryAfter, wait, latest/2))
+	earliest := min(latest, max(minRetryAfter, wait, time.Duration(retryEarliest*float64(latest))))
 	if latest <= earliest {
 		return max(minRetryAfter, latest)
 	}
