Order among callers: hanging requests count for nobody; limits are asked once

An engine that hangs with urgent requests would have kept out the less urgent for as long as it reports them as running: announcements over 30 s old count for nobody. Where no single engine stood out, the upstreams' limits were asked twice before a refusal.

--- a/bhadmit/model_test.go
+++ b/bhadmit/model_test.go
@@ -223,7 +223,7 @@
 		}
 		engine := best.load(l.slots, request.sent)
 		if !engine.Free() {
-			asked.Standing = standing(engines, order[:min(sampled, len(engines))], account, weights)
+			asked.Standing = standing(engines, order[:min(sampled, len(engines))], account, weights, request.sent)
 		}
 		decision = gateway.Decide(asked, engine, modelTimes)
 		if engine.Free() {
@@ -254,12 +254,12 @@
 }
 
 // standing returns how a request of the account stands at the sampled engines.
-func standing(engines []*modelEngine, sample []int, account *modelAccount, weights *bhshare.Weights) bhshare.Standing {
+func standing(engines []*modelEngine, sample []int, account *modelAccount, weights *bhshare.Weights, at time.Duration) bhshare.Standing {
 	var usage bhshare.Usage
 	for _, i := range sample {
 		if e := engines[i]; !e.dark {
 			if e.callers == nil {
-				e.callers = e.ledger.Callers(len(e.running) + len(e.queue))
+				e.callers = e.ledger.Callers(len(e.running)+len(e.queue), at)
 			}
 			usage.Add(e.callers...)
 		}
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -42,12 +42,13 @@
 	candidates := sample
 	if !c.anyFree(sample, excluded, loads) {
 		candidates = c.widen(ctx, instances, sample, excluded, loads)
-		if c.standing(loads).Yields() != bhshare.None && !c.anyFree(candidates, excluded, loads) {
+		if !resume && c.standing(loads).Yields() != bhshare.None && !c.anyFree(candidates, excluded, loads) {
 			candidates = c.widen(ctx, instances, candidates, excluded, loads)
 		}
 	}
-	instance, ok := c.pickWithinLimit(ctx, service, c.soonest(service, candidates, excluded, loads), excluded, loads)
-	if !ok {
+	soonest := c.soonest(service, candidates, excluded, loads)
+	instance, ok := c.pickWithinLimit(ctx, service, soonest, excluded, loads)
+	if !ok && len(soonest) < len(candidates) {
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
 	if !ok && len(candidates) == len(sample) {
--- a/bhjob/callers.go
+++ b/bhjob/callers.go
@@ -40,11 +40,11 @@
 
 // contenders returns whose the engine's live requests are if they leave no slot to
 // others. The caller holds r.mu.
-func (r *Runner) contenders(live int) []bhwire.Caller {
+func (r *Runner) contenders(live int, now time.Duration) []bhwire.Caller {
 	if r.slots == 0 || live < r.slots {
 		return nil
 	}
-	known := r.callers.Callers(live)
+	known := r.callers.Callers(live, now)
 	callers := make([]bhwire.Caller, 0, min(len(known), maxCallers))
 	for _, caller := range known[:min(len(known), maxCallers)] {
 		callers = append(callers, bhwire.Caller{Account: caller.Account, Priority: caller.Priority, Live: caller.Live})
--- a/bhjob/callers_test.go
+++ b/bhjob/callers_test.go
@@ -49,7 +49,7 @@
 	for i := range 128 {
 		r.callers.Announce(bhshare.ID(fmt.Sprint(i)), 1000, 0)
 	}
-	room := bhwire.Room{Slots: 128, Live: 128, Items: 128, Age: time.Hour, Limit: 1e9, Heard: time.Hour, Wait: time.Hour, Callers: r.contenders(128)}
+	room := bhwire.Room{Slots: 128, Live: 128, Items: 128, Age: time.Hour, Limit: 1e9, Heard: time.Hour, Wait: time.Hour, Callers: r.contenders(128, 0)}
 	frame, err := bhwire.Encode(bhwire.KindRoom, 1<<40, room)
 	require.NoError(t, err)
 	data, err := bhwire.AppendFrame(nil, frame)
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -167,7 +167,7 @@
 	now := r.config.Clock.Now()
 	live := r.load.live()
 	return bhwire.Room{
-		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: live, Callers: r.contenders(live), Oldest: r.oldest(live, now), Items: active, Age: now - r.load.requestedAt,
+		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: live, Callers: r.contenders(live, now), Oldest: r.oldest(live, now), Items: active, Age: now - r.load.requestedAt,
 		Limited: limit.Named, Limit: limit.Rate, Heard: heard, Wait: limit.Wait,
 	}
 }
--- a/bhshare/share.go
+++ b/bhshare/share.go
@@ -136,6 +136,10 @@
 // runs and queues.
 const maxAnnounced = 256
 
+// maxAge is the age of an announcement from which on its request counts for nobody, so
+// that an engine that hangs with urgent requests doesn't keep out the less urgent.
+const maxAge = 30 * time.Second
+
 // Ledger tells whose live requests an engine has. Nothing tells it which of them have
 // ended: engines admit requests in order of arrival, so those that an engine still has
 // are taken to be the newest. The counts are then shares of what was admitted lately,
@@ -176,12 +180,12 @@
 	return newest[0].at, true
 }
 
-// Callers returns the known callers of an engine that has the number of live requests,
-// those with the most first.
-func (l *Ledger) Callers(live int) []Caller {
+// Callers returns the known callers of an engine that has the number of live requests at
+// now, those with the most first.
+func (l *Ledger) Callers(live int, now time.Duration) []Caller {
 	counts := make(map[slot]int)
 	for _, announced := range l.newest(live) {
-		if announced.account != Unknown {
+		if announced.account != Unknown && now-announced.at <= maxAge {
 			counts[announced.slot]++
 		}
 	}
--- a/bhshare/share_test.go
+++ b/bhshare/share_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"pgregory.net/rapid"
@@ -80,11 +81,11 @@
 	ledger.Announce(Unknown, 0, 0)
 	ledger.Announce(ID("b"), 1, 0)
 	ledger.Announce(ID("b"), 1, 0)
-	assert.Equal(t, []Caller{{Account: ID("b"), Priority: 1, Live: 2}, {Account: ID("a"), Live: 1}}, ledger.Callers(4))
-	assert.Empty(t, ledger.Callers(0))
-	assert.Empty(t, ledger.Callers(-1))
+	assert.Equal(t, []Caller{{Account: ID("b"), Priority: 1, Live: 2}, {Account: ID("a"), Live: 1}}, ledger.Callers(4, 0))
+	assert.Empty(t, ledger.Callers(0, 0))
+	assert.Empty(t, ledger.Callers(-1, 0))
 	live := 0
-	for _, caller := range ledger.Callers(100) {
+	for _, caller := range ledger.Callers(100, 0) {
 		live += caller.Live
 	}
 	assert.Equal(t, 6, live, "more requests run than were announced since the runner started")
@@ -96,5 +97,13 @@
 		ledger.Announce(ID("a"), 0, 0)
 	}
 	assert.LessOrEqual(t, len(ledger.announced), maxAnnounced)
-	assert.Equal(t, []Caller{{Account: ID("a"), Live: 40}}, ledger.Callers(40))
+	assert.Equal(t, []Caller{{Account: ID("a"), Live: 40}}, ledger.Callers(40, 0))
+}
+
+func TestRequestsThatHangCountForNobody(t *testing.T) {
+	var ledger Ledger
+	ledger.Announce(ID("a"), 0, 0)
+	ledger.Announce(ID("b"), 0, maxAge)
+	assert.Len(t, ledger.Callers(2, maxAge), 2)
+	assert.Equal(t, []Caller{{Account: ID("b"), Live: 1}}, ledger.Callers(2, maxAge+time.Millisecond))
 }
