--- a/bhgate/callers.go
+++ b/bhgate/callers.go
@@ -1,6 +1,7 @@
 package bhgate
 
 import (
+	"context"
 	"net/netip"
 	"sync"
 
@@ -53,6 +54,17 @@
 	return usage.Standing(own.Account, own.Priority, c.gate.weights.of(c.view.Index))
 }
 
+// pickSoonest picks an instance like pickWithinLimit: if all engines are full the one that
+// frees a slot soonest, unless its limit allows no request.
+func (c *call) pickSoonest(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, bool) {
+	soonest := c.soonest(service, candidates, excluded, loads)
+	instance, ok := c.pickWithinLimit(ctx, service, soonest, excluded, loads)
+	if !ok && len(soonest) < len(candidates) {
+		return c.pickWithinLimit(ctx, service, candidates, excluded, loads)
+	}
+	return instance, ok
+}
+
 // soonest returns the candidate whose full engine frees a slot soonest, or all candidates
 // if one has a free slot or none tells its load.
 func (c *call) soonest(service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) []bhwatch.Instance {
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -46,11 +46,7 @@
 			candidates = c.widen(ctx, instances, candidates, excluded, loads)
 		}
 	}
-	soonest := c.soonest(service, candidates, excluded, loads)
-	instance, ok := c.pickWithinLimit(ctx, service, soonest, excluded, loads)
-	if !ok && len(soonest) < len(candidates) {
-		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
-	}
+	instance, ok := c.pickSoonest(ctx, service, candidates, excluded, loads)
 	if !ok && len(candidates) == len(sample) {
 		candidates = c.widen(ctx, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
