--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -123,8 +123,8 @@
 	yields := request.Standing.Yields()
 	c.gate.metrics.notAdmitted[yields].Inc(1)
 	if yields != bhshare.None {
-		return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full, and the request yields to other callers by %s: it has %d slots of a share of %.1f, more urgent ones %d",
-			service, yields, request.Standing.Own, request.Standing.Fair, request.Standing.Urgent).WithRetryAfter(decision.RetryAfter)
+		// The client isn't told what others have; the log is.
+		return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full, and the request yields to other callers by %s", service, yields).WithRetryAfter(decision.RetryAfter)
 	}
 	return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full: the first token would take %s, with %s left for it",
 		service, decision.Wait+times.First, request.Objective).WithRetryAfter(decision.RetryAfter)
