--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -46,14 +46,11 @@
 	candidates := sample
 	if !c.anyFree(sample, excluded, loads) {
 		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
-		if c.standing(loads).Yields() != bhshare.None && !c.anyFree(candidates, excluded, loads) {
+		if !resume && c.standing(loads).Yields() != bhshare.None && !c.anyFree(candidates, excluded, loads) {
 			candidates = c.widen(ctx, service, instances, candidates, excluded, loads)
 		}
 	}
-	instance, ok := c.pickWithinLimit(ctx, service, c.soonest(service, candidates, excluded, loads), excluded, loads)
-	if !ok {
-		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
-	}
+	instance, ok := c.pickSoonest(ctx, service, candidates, excluded, loads)
 	if !ok && len(candidates) == len(sample) {
 		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
@@ -134,8 +131,8 @@
 	yields := request.Standing.Yields()
 	c.gate.metrics.notAdmitted[yields].Inc(1)
 	if yields != bhshare.None {
-		return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full, and the request yields to other callers by %s: it has %d slots of a share of %.1f, more urgent ones %d",
-			service, yields, request.Standing.Own, request.Standing.Fair, request.Standing.Urgent).WithRetryAfter(decision.RetryAfter)
+		// The client isn't told what others have; the log is.
+		return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full, and the request yields to other callers by %s", service, yields).WithRetryAfter(decision.RetryAfter)
 	}
 	return bhcode.New(bhcode.Overloaded, "all engines asked of service %q are full: the first token would take %s, with %s left for it",
 		service, decision.Wait+times.First, request.Objective).WithRetryAfter(decision.RetryAfter)
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -169,7 +169,7 @@
 	now := r.config.Clock.Now()
 	live := r.load.live()
 	return bhwire.Room{
-		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: live, Callers: r.contenders(live), Oldest: r.oldest(live, now), Items: active, Age: now - r.load.requestedAt,
+		Leaving: r.leaving, Suspect: r.suspicion.active(now), Slots: r.slots, Live: live, Callers: r.contenders(live, now), Oldest: r.oldest(live, now), Items: active, Age: now - r.load.requestedAt,
 		Limited: newest.Named, Limit: newest.Rate, Heard: heard, Wait: limit.Wait, Cold: max(0, cold.Until.Sub(asked)),
 	}
 }
