Crashing parts: a trial tests what most likely crashes, and waits for a fresh request

Cause, first: a trial was named by the content, also where the part beside it explains the ends of several contents. So it tested no part, and the trials of each content and of the part added up. Second: an item with a lethal prompt under which fewer than three engines had ended ran as the trial of its account's part, again and again.

Change: what explains the ends goes first among the suspects and names the trial; the trial of a part waits 2 s longer for a request under whose content and prompt nothing has ended.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -26,6 +26,9 @@
 	// aloneWait is how long the trial of a part waits for a request in which no other
 	// part is accused, so that the outcome tells which of them it was.
 	aloneWait = time.Second
+	// freshWait is how much longer the trial of a part waits for a request under whose
+	// content and prompt no upstream ended, which can only crash one by its parts.
+	freshWait = 2 * time.Second
 )
 
 // trialDelays are the times from the last crash under a crashing digest until its next
@@ -66,8 +69,8 @@
 	RetryAfter time.Duration
 }
 
-// TestOf returns how a run by the decision tests the digest. Beside a suspected prompt or
-// content it tests no part: these are the likelier cause of a crash.
+// TestOf returns how a run by the decision tests the digest. If a prompt or content is the
+// first suspect, it tests no part: these are the likelier cause of a crash.
 func (d Decision) TestOf(digest string) Test {
 	switch {
 	case len(d.Suspects) > 0 && isPart(digest) && !isPart(d.Suspects[0]):
@@ -122,12 +125,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
-	accused := l.accused(traits, now)
+	culprits := l.culprits(now)
+	accused := l.accused(traits, culprits, now)
 	if len(accused) == 0 {
 		return Decision{Status: Clear}
 	}
 	decision := Decision{Status: Clear, Together: l.partsWithCrashes(traits, now)}
-	culprits := l.culprits(now)
 	var due time.Time
 	for _, digest := range accused {
 		live := l.histories[digest].liveSources(now)
@@ -145,16 +148,20 @@
 	if len(decision.Together) > 1 {
 		due = due.Add(aloneWait)
 	}
+	if isPart(accused[0]) && (l.endedUnder(traits.Content, now) || l.endedUnder(traits.Prompt, now)) {
+		due = due.Add(freshWait)
+	}
 	if wait := due.Sub(now); wait > 0 {
 		return Decision{Status: Quarantined, RetryAfter: wait}
 	}
 	return decision
 }
 
-// accused returns the digests of the traits under which enough upstreams ended: prompt,
-// content and parts in turn, the parts with the most first. The first one names the trial,
-// and requests with the same crashing prompt have other parts and contents beside it.
-func (l *Ledger) accused(traits Traits, now time.Time) []string {
+// accused returns the digests of the traits under which enough upstreams ended: the
+// culprits first, and among them prompt, content and parts in turn, the parts with the most
+// first. The first one names the trial, and requests with the same crashing prompt have
+// other parts and contents beside it.
+func (l *Ledger) accused(traits Traits, culprits map[string]bool, now time.Time) []string {
 	var digests []string
 	sources := make(map[string]int)
 	for _, digest := range traits.All() {
@@ -167,18 +174,28 @@
 			digests = append(digests, digest)
 		}
 	}
-	slices.SortStableFunc(digests, func(a, b string) int {
-		return cmp.Or(kindRanks[kindOf(a)]-kindRanks[kindOf(b)], sources[b]-sources[a])
-	})
+	rank := func(digest string) int {
+		if culprits[digest] {
+			return kindRanks[kindOf(digest)]
+		}
+		return len(kindRanks) + kindRanks[kindOf(digest)]
+	}
+	slices.SortStableFunc(digests, func(a, b string) int { return cmp.Or(rank(a)-rank(b), sources[b]-sources[a]) })
 	return digests
 }
 
+// endedUnder reports whether any upstream ended under the digest since it last ran whole.
+func (l *Ledger) endedUnder(digest string, now time.Time) bool {
+	history := l.histories[digest]
+	return history != nil && len(history.liveSources(now)) > 0
+}
+
 // partsWithCrashes returns the parts of the traits under which any upstream ended since
 // they last ran whole. A crashing part may have fewer ends than one beside it.
 func (l *Ledger) partsWithCrashes(traits Traits, now time.Time) []string {
 	var parts []string
 	for _, part := range traits.Parts {
-		if history := l.histories[part]; history != nil && len(history.liveSources(now)) > 0 {
+		if l.endedUnder(part, now) {
 			parts = append(parts, part)
 		}
 	}
--- a/bhcrash/decide_test.go
+++ b/bhcrash/decide_test.go
@@ -80,3 +80,63 @@
 		assert.Equal(t, Quarantined, l.Decide(crashing).Status)
 	})
 }
+
+// TestTrialOfAPartWaitsForAFreshRequest guards against sound requests that wait for the next
+// trial of their account's part, since those before were of an item that crashes upstreams
+// by its prompt, under which too few had ended to suspect that.
+func TestTrialOfAPartWaitsForAFreshRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLedger()
+		own := digest(kindPart, "zoo", "own")
+		crashing := Traits{Content: digest(kindContent, "1"), Prompt: digest(kindPrompt, "p"), Parts: []string{own}}
+		sound := Traits{Content: digest(kindContent, "2"), Prompt: digest(kindPrompt, "q"), Parts: []string{own}}
+		for i := range partThreshold {
+			source := Source{Host: fmt.Sprint("i-", i)}
+			l.RecordLoss(source, own, NotTested)
+			if i < contentThreshold-1 {
+				l.RecordLoss(source, crashing.Content, NotTested)
+				l.RecordLoss(source, crashing.Prompt, NotTested)
+			}
+		}
+		for l.Decide(sound).Status == Quarantined {
+			assert.Equal(t, Quarantined, l.Decide(crashing).Status)
+			time.Sleep(50 * time.Millisecond)
+		}
+		assert.Equal(t, Quarantined, l.Decide(crashing).Status, "its trial would test the prompt too")
+		time.Sleep(freshWait)
+		assert.Equal(t, Suspect, l.Decide(crashing).Status, "nothing else came")
+	})
+}
+
+// TestTrialsCountAgainstACrashingPartInFewContents guards against a crashing part whose requests
+// come again, so that their contents are tried one after the other and then the part.
+func TestTrialsCountAgainstACrashingPartInFewContents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLedger()
+		part := digest(kindPart, "zoo", "bad")
+		var requests []Traits
+		for i := range 2 {
+			requests = append(requests, Traits{Content: digest(kindContent, fmt.Sprint(i)), Parts: []string{part}})
+		}
+		ends := 0
+		end := func(traits Traits, decision Decision) {
+			ends++
+			for _, d := range traits.All() {
+				l.RecordLoss(Source{Host: fmt.Sprint("i-", ends)}, d, decision.TestOf(d))
+			}
+		}
+		for i := range 2 * contentThreshold {
+			end(requests[i%2], Decision{})
+		}
+		trials := 0
+		for began := time.Now(); time.Since(began) < 2*time.Minute; time.Sleep(100 * time.Millisecond) {
+			for _, traits := range requests {
+				if decision := l.Decide(traits); decision.Status == Suspect {
+					trials++
+					end(traits, decision)
+				}
+			}
+		}
+		assert.LessOrEqual(t, trials, len(trialDelays))
+	})
+}
