Crashing items: their trials are spread over the time until they may be given up

The first trial comes as soon as before, so that sound items are cleared soon. Gateways that grant trials are told the time left (Try.Left).

--- a/bhcrash/content.go
+++ b/bhcrash/content.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"strconv"
+	"time"
 )
 
 // digestBytes is the length of a digest, long enough that no caller can find
@@ -46,6 +47,8 @@
 	Prompt string
 	// Parts are the digests of the account's shared parts of prompts.
 	Parts []string
+	// Until is when an item may be given up; zero for a request whose client waits.
+	Until time.Time
 }
 
 // Traits returns the traits of the content.
--- a/bhcrash/content_test.go
+++ b/bhcrash/content_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -44,5 +45,5 @@
 	}
 	assert.Len(t, l.ends, maxEnds)
 	assert.Len(t, l.histories["d"].bySource, maxSources)
-	assert.Equal(t, Quarantined, l.DecideAlone("d").Status)
+	assert.Equal(t, Quarantined, l.DecideAlone("d", time.Time{}).Status)
 }
--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -140,7 +140,7 @@
 		if trials.count == 0 && !culprits[digest] && len(live) < threshold(digest)+surelyMore {
 			continue
 		}
-		due = later(due, l.nextTrial(digest, live, trials))
+		due = later(due, l.nextTrial(digest, live, trials, traits))
 	}
 	if decision.Status == Clear {
 		return decision
@@ -202,12 +202,13 @@
 	return parts
 }
 
-// DecideAlone is Decide for a single digest, whatever else a request has.
-func (l *Ledger) DecideAlone(digest string) Decision {
+// DecideAlone is Decide for a single digest, whatever else a request has. It is never
+// later than for a request with the digest that may be given up then.
+func (l *Ledger) DecideAlone(digest string, until time.Time) Decision {
 	if isPart(digest) {
-		return l.Decide(Traits{Parts: []string{digest}})
+		return l.Decide(Traits{Parts: []string{digest}, Until: until})
 	}
-	return l.Decide(Traits{Content: digest})
+	return l.Decide(Traits{Prompt: digest, Until: until})
 }
 
 // trialTally sums up the trials of a digest.
@@ -220,11 +221,16 @@
 
 // nextTrial returns when the next trial of the digest is due, or when it is no longer
 // refused if there is none. After an excused trial the next one comes no later than
-// after the one before.
-func (l *Ledger) nextTrial(digest string, live map[Source]sourceCrashes, trials trialTally) time.Time {
+// after the one before. The first trial of an item comes as soon as that of a request, so that
+// what only ran beside a crashing item is cleared.
+func (l *Ledger) nextTrial(digest string, live map[Source]sourceCrashes, trials trialTally, traits Traits) time.Time {
 	if trials.count >= len(trialDelays) {
 		return trials.lastAt.Add(Window)
 	}
+	if count := trials.count - trials.excused; count > 0 && !traits.Until.IsZero() {
+		delay := itemDelay(count, traits.Until.Sub(trials.lastAt))
+		return trials.lastAt.Add(delay - l.turn(traits.Content, live, time.Now()))
+	}
 	due := trials.lastAt.Add(spread(trialDelays[trials.count-trials.excused], digest))
 	if calm := l.lastCrashBeside(live).Add(calmTime); calm.After(due) {
 		return earlier(calm, due.Add(maxCalmWait))
--- a/bhevidence/permit.go
+++ b/bhevidence/permit.go
@@ -97,8 +97,8 @@
 
 // beginTrial acquires the trial of the suspects. If another request runs it, it returns nil
 // and the time to wait.
-func (r *Registry) beginTrial(ctx context.Context, decision bhcrash.Decision) (*Permit, time.Duration) {
-	permit, wait := r.askForTrial(ctx, decision)
+func (r *Registry) beginTrial(ctx context.Context, decision bhcrash.Decision, until time.Time) (*Permit, time.Duration) {
+	permit, wait := r.askForTrial(ctx, decision, until)
 	if permit == nil {
 		return nil, wait
 	}
@@ -111,15 +111,19 @@
 
 // askForTrial asks the gateway that comes first for the suspects for their trial. If that
 // is denied, it returns nil and the time until it may be granted.
-func (r *Registry) askForTrial(ctx context.Context, decision bhcrash.Decision) (*Permit, time.Duration) {
+func (r *Registry) askForTrial(ctx context.Context, decision bhcrash.Decision, until time.Time) (*Permit, time.Duration) {
 	digest := decision.Suspects[0]
 	permit := &Permit{registry: r, decision: decision, trial: rand.Uint64()}
+	try := bhwire.Try{Digest: encodeDigest(digest), Trial: permit.trial}
+	if !until.IsZero() {
+		try.Left = max(1, time.Until(until))
+	}
 	for _, peer := range r.granters(digest) {
 		if !peer.IsValid() {
 			break
 		}
 		permit.asked = append(permit.asked, peer)
-		frame, answered := r.config.Peers.Ask(ctx, tryWait, bhwire.KindTry, bhwire.Try{Digest: encodeDigest(digest), Trial: permit.trial}, peer)[peer]
+		frame, answered := r.config.Peers.Ask(ctx, tryWait, bhwire.KindTry, try, peer)[peer]
 		if !answered {
 			continue
 		}
@@ -136,7 +140,7 @@
 		permit.granted = true
 		return permit, 0
 	}
-	if granted, wait := r.grant(digest, permit.trial); !granted {
+	if granted, wait := r.grant(digest, permit.trial, until); !granted {
 		permit.release()
 		return nil, wait
 	}
@@ -154,8 +158,8 @@
 
 // grant grants the trial of a digest unless it is granted already or, by what this
 // process knows, not due. If it isn't granted, it returns how long to wait.
-func (r *Registry) grant(digest string, trial uint64) (bool, time.Duration) {
-	if decision := r.ledger.DecideAlone(digest); decision.Status == bhcrash.Quarantined {
+func (r *Registry) grant(digest string, trial uint64, until time.Time) (bool, time.Duration) {
+	if decision := r.ledger.DecideAlone(digest, until); decision.Status == bhcrash.Quarantined {
 		return false, decision.RetryAfter
 	}
 	now := time.Now()
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -138,7 +138,7 @@
 		r.metrics.refused.Inc(1)
 		return nil, withheld(traits, decision)
 	}
-	permit, wait := r.beginTrial(ctx, decision)
+	permit, wait := r.beginTrial(ctx, decision, traits.Until)
 	if permit == nil {
 		r.metrics.refused.Inc(1)
 		return nil, bhcode.New(bhcode.Withheld, "upstreams ended under %s, of which no further trial may run yet", decision.Suspects[0]).WithRetryAfter(wait)
--- a/bhevidence/share.go
+++ b/bhevidence/share.go
@@ -88,7 +88,11 @@
 		r.returnLease(digest, try.Trial)
 		return "", nil
 	}
-	granted, wait := r.grant(digest, try.Trial)
+	var until time.Time
+	if try.Left > 0 {
+		until = time.Now().Add(try.Left)
+	}
+	granted, wait := r.grant(digest, try.Trial, until)
 	return bhwire.KindTried, bhwire.Tried{Granted: granted, Wait: wait}
 }
 
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -176,6 +176,10 @@
 	// Digest of the request's content.
 	Digest []byte `json:"digest"`
 
+	// Time until the suspect, an item, may be given up; 0 for a request whose client
+	// waits.
+	Left time.Duration `json:"left"`
+
 	// Whether the sender gives the right back without a run; this isn't answered.
 	Returned bool `json:"returned"`
 
