Runners: trials of items aren't paused, and held items are given up in time

Cause, first: at 52.05 s the trial of an item had reached its engine and was paused 206 ms later for a live request; the permit was given back, and the next trial came at 54.34 s. Second: items are given up by the runner that has claimed them, and nobody claims an item that is held.

Change: a run that is a trial isn't paused; a connection that breaks under a trial is looked at also if the engine isn't listed any more. An item past its retention isn't held, and not sent.

--- a/bhjob/crash_test.go
+++ b/bhjob/crash_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
 	"github.com/baobabhaven/baobabhaven/bhstand"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -210,3 +211,44 @@
 		assert.LessOrEqual(t, int64(engine.endCount()), 3+losses.trials.Load(), "ends but for trials")
 	}
 }
+
+// TestCrashingItemIsGivenUpInTime guards against an item that is held and never listed,
+// although it may be given up, and against one that is sent to an engine then.
+func TestCrashingItemIsGivenUpInTime(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	submission := sampleJob("j", 1)
+	submission.Retention = 5 * time.Second
+	r := newRunnerFixture(t, store, "a")
+	engine := newRestartingEngine(t, r, submission.Items[0].ID)
+	began := time.Now()
+	require.NoError(t, newTestJobStore(store).Submit(t.Context(), submission))
+	results := r.waitResults("j", 1)
+	assert.Equal(t, Dead, results[0].Status)
+	assert.GreaterOrEqual(t, time.Since(began), submission.Retention)
+	ends := engine.endCount()
+	assert.LessOrEqual(t, ends, maxRunsOfCrashing)
+	time.Sleep(time.Second)
+	assert.Equal(t, ends, engine.endCount(), "the item isn't sent any more")
+}
+
+// onlyTrials grants each item as a trial.
+type onlyTrials struct{ Crashes }
+
+// Admit implements Crashes.
+func (onlyTrials) Admit(context.Context, bhcrash.Traits) (*bhevidence.Permit, error) {
+	return new(bhevidence.Permit), nil
+}
+
+// TestTrialOfAnItemIsNotPaused guards against a trial that is paused for a live request: it has
+// reached an engine without an outcome, so that the item is sent once more than is allowed.
+func TestTrialOfAnItemIsNotPaused(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	r := newRunnerFixture(t, store, "a")
+	r.runner.config.Crashes = onlyTrials{r.runner.config.Crashes}
+	r.engine.set(func(e *fakeEngine) { e.eventInterval, e.eventCount = 20*time.Millisecond, 30 })
+	require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+	require.Eventually(t, func() bool { return len(r.engine.requestHeaders()) == 1 }, 30*time.Second, time.Millisecond)
+	r.engine.set(func(e *fakeEngine) { e.live, e.waiting = 2, 2 })
+	assert.Equal(t, Completed, r.waitResults("j", 1)[0].Status)
+	assert.Len(t, r.engine.requestHeaders(), 1, "it ran to its end at once")
+}
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -65,10 +65,12 @@
 	}
 }
 
-// isHeld reports whether the item may not be claimed yet. The caller holds r.mu.
+// isHeld reports whether the item may not be claimed yet. An item that may be given up is
+// claimed for that. The caller holds r.mu.
 func (r *Runner) isHeld(item string) bool {
 	held, ok := r.held[item]
-	return ok && (time.Now().Before(held.until) || r.config.Crashes.Withheld(held.traits) != nil)
+	now := time.Now()
+	return ok && now.Before(held.traits.Until) && (now.Before(held.until) || r.config.Crashes.Withheld(held.traits) != nil)
 }
 
 // claimHeld is isHeld for callers that don't hold r.mu.
@@ -78,16 +80,19 @@
 	return r.isHeld(item)
 }
 
-// traits returns the traits of the item's content and prompt.
+// traits returns the traits of the item's content and prompt. The caller holds the runner's
+// mutex.
 func (ir *itemRun) traits() bhcrash.Traits {
 	header := make(http.Header)
 	for name, value := range ir.item.Header {
 		header.Set(name, value)
 	}
-	return bhcrash.Content{
+	traits := bhcrash.Content{
 		Account: ir.job.Account, Method: http.MethodPost, Host: ir.job.Host, Target: ir.item.Target, Body: ir.item.Body,
 		Prompt: ir.runner.config.Dialect.WholePrompt(header), Parts: ir.runner.config.Dialect.SharedParts(header),
 	}.Traits()
+	traits.Until = time.Now().Add(ir.job.Expires - ir.runner.storeNow())
+	return traits
 }
 
 // sendAdmitted sends the item if it may run by what happened to engines that ran its
@@ -97,7 +102,9 @@
 	if err != nil {
 		return err
 	}
+	ir.runner.mu.Lock()
 	crashes, traits := ir.runner.config.Crashes, ir.traits()
+	ir.runner.mu.Unlock()
 	if crashes.Suspected(traits) {
 		if !ir.runner.suspectRuns.CompareAndSwap(false, true) {
 			return errSuspectRuns
@@ -112,6 +119,8 @@
 		permit.Return()
 		return err
 	}
+	ir.setTrial(permit != nil)
+	defer ir.setTrial(false)
 	bhlog.Event(ir.runner.config.Logger, "item.sent", "item", ir.item.ID, "job", ir.job.ID, "account", ir.job.Account, "upstream", instance.ID,
 		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "prompt", traits.Prompt, "parts", strings.Join(traits.Parts, ","))
 	sentAt := time.Now()
@@ -119,7 +128,7 @@
 	switch {
 	case err == nil:
 		crashes.Whole(traits)
-	case ctx.Err() == nil && connectionBroke(err) && ir.runner.serves(instance):
+	case ctx.Err() == nil && connectionBroke(err) && (permit != nil || ir.runner.serves(instance)):
 		crashes.Lost(ctx, bhevidence.Loss{
 			Traits: traits, Upstream: bhcrash.Source{Host: instance.ID, Incarnation: uint64(instance.Born)}, Address: instance.Address,
 			SentAt: sentAt, Permit: permit,
@@ -130,6 +139,14 @@
 	return err
 }
 
+// setTrial notes whether the run is a trial. A trial isn't paused: without an outcome the
+// item would reach engines once more than is allowed.
+func (ir *itemRun) setTrial(trial bool) {
+	ir.runner.mu.Lock()
+	defer ir.runner.mu.Unlock()
+	ir.trial = trial
+}
+
 // bodyDigest returns a short digest of the body, by which logs tell bodies apart.
 func bodyDigest(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
 
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -93,6 +93,8 @@
 	resumed   bool
 	// streaming reports that an event has arrived since the last start.
 	streaming bool
+	// trial reports that the present request is a trial of what engines ended under.
+	trial bool
 	// stopping reports that the request to the engine is being cancelled.
 	stopping bool
 	// pausedAt is when the run was paused; zero if it has never started.
@@ -451,7 +453,7 @@
 	header.Set(dialect.Instance, instance)
 	header.Set(dialect.Account, ir.job.Account)
 	ir.runner.mu.Lock()
-	lastEvent, remaining := ir.checkpoint.LastEvent, ir.job.Expires-(ir.runner.config.Clock.Now()+ir.runner.clockOffset)
+	lastEvent, remaining := ir.checkpoint.LastEvent, ir.job.Expires-ir.runner.storeNow()
 	ir.runner.mu.Unlock()
 	header.Set(dialect.Deadline, strconv.FormatInt(max(1000, remaining.Milliseconds()), 10))
 	if lastEvent != "" {
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -353,7 +353,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.config.Clock.Now() + r.clockOffset
+	now := r.storeNow()
 	var eligible []*Job
 	for _, list := range r.jobs {
 		if !r.recent(list.readAt) {
@@ -454,13 +454,21 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[id] = claimedRun
-	if r.freeSlots > 0 {
+	if r.freeSlots > 0 && !r.expired(job) {
 		r.freeSlots--
 		claimedRun.start()
 	}
 	return nil
 }
 
+// storeNow returns the reading of the store's clock, or a later one if the last read of it
+// was slow. The caller holds r.mu.
+func (r *Runner) storeNow() time.Duration { return r.config.Clock.Now() + r.clockOffset }
+
+// expired reports whether items of the job aren't sent any more. The next read of the jobs
+// gives them up. The caller holds r.mu.
+func (r *Runner) expired(job *Job) bool { return r.storeNow() > job.Expires }
+
 // Close stops all runs, returns their claims and waits until that is done or
 // ctx is. Then it removes the runner's heartbeat record and returns the error
 // of the removal.
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -192,14 +192,14 @@
 }
 
 // pauseLeastUrgent pauses the count runs that can wait longest, or are late
-// already.
+// already, but for trials.
 func (r *Runner) pauseLeastUrgent(count int) {
 	r.lastPauseAt = time.Now()
 	for _, run := range slices.Backward(r.inPhase(running)) {
 		if count == 0 {
 			return
 		}
-		if run.atEngine() {
+		if run.atEngine() && !run.trial {
 			run.pause(r.load)
 			count--
 		}
@@ -213,7 +213,7 @@
 		if r.freeSlots == 0 {
 			return
 		}
-		if time.Now().Before(run.notBefore) || !r.startable(run.job) {
+		if time.Now().Before(run.notBefore) || !r.startable(run.job) || r.expired(run.job) {
 			continue
 		}
 		r.freeSlots--
@@ -239,7 +239,7 @@
 			runs = append(runs, run)
 		}
 	}
-	now := r.config.Clock.Now() + r.clockOffset
+	now := r.storeNow()
 	slices.SortFunc(runs, func(a, b *itemRun) int {
 		return cmp.Or(a.urgency(now).compare(b.urgency(now)), cmp.Compare(a.item.ID, b.item.ID))
 	})
