Crashing items: they are tried one at a time from the second end on

Two items with the prompt ran at each of the first two engines, and four more were sent before all runners knew of the third end.

Change: an item under whose content or prompt two engines ended runs as a trial, one at a time in the fleet, at once; it has three trials as before.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -166,10 +166,10 @@
 	sources := make(map[string]int)
 	for _, digest := range traits.All() {
 		history := l.histories[digest]
-		if history == nil || len(history.bySource) < threshold(digest) {
+		if history == nil || len(history.bySource) < traits.threshold(digest) {
 			continue
 		}
-		if count := len(history.liveSources(now)); count >= threshold(digest) {
+		if count := len(history.liveSources(now)); count >= traits.threshold(digest) {
 			sources[digest] = count
 			digests = append(digests, digest)
 		}
--- a/bhcrash/rest.go
+++ b/bhcrash/rest.go
@@ -3,6 +3,10 @@
 import "time"
 
 const (
+	// itemThreshold is the number of upstreams that must have ended under the content or prompt of
+	// an item for it to run as a trial. Several items have the same prompt, and would end
+	// several upstreams more before all runners know of the third.
+	itemThreshold = 2
 	// itemRest is the time between two trials under which an item has crashed. Whoever
 	// submitted it may expect a try in any 20 s; the rest is left for the wait for an
 	// engine.
@@ -16,6 +20,15 @@
 	maxItemRest = Window / 4
 )
 
+// threshold returns the number of upstreams that must have ended under the digest for the
+// request to run as a trial.
+func (t Traits) threshold(digest string) int {
+	if t.Until.IsZero() || isPart(digest) {
+		return threshold(digest)
+	}
+	return itemThreshold
+}
+
 // itemDelay returns the time from the last crash under a digest until the next trial of an
 // item that may be given up after the time left, if that many trials ended in a crash, at
 // least one. The trials are spread evenly over the time left if that is long.
--- a/bhevidence/items_test.go
+++ b/bhevidence/items_test.go
@@ -40,6 +40,10 @@
 	apart          time.Duration
 	// trouble strikes at the fifteenth second.
 	trouble func(f *testFleet)
+	// soundPrompts is the number of prompts that sound items have; zero gives each its own.
+	soundPrompts int
+	// bursts are the times at which engines end for another reason, one in three.
+	bursts []time.Duration
 	// canRest says that the trials that are allowed suffice to try each item in time.
 	canRest bool
 }
@@ -51,6 +55,8 @@
 	{name: "three prompts, no store", prompts: 3, items: 1, apart: 1500 * time.Millisecond, trouble: func(f *testFleet) { f.cutStore() }, canRest: true},
 	{name: "one prompt in five items", prompts: 1, items: 5, apart: 4 * time.Second},
 	{name: "one prompt in five items, restarts", prompts: 1, items: 5, apart: 4 * time.Second, trouble: restartAll},
+	{name: "few sound prompts", prompts: 1, items: 1, soundPrompts: 10, canRest: true},
+	{name: "bursts, few sound prompts", soundPrompts: 10, bursts: []time.Duration{10 * time.Second, 14 * time.Second, 18 * time.Second}},
 }
 
 func restartAll(f *testFleet) {
@@ -130,6 +136,9 @@
 			day.trouble(f.fleet)
 		})
 	}
+	for _, at := range day.bursts {
+		time.AfterFunc(at, f.burst)
+	}
 	for time.Since(f.began) < itemRetention+10*time.Second {
 		time.Sleep(time.Second)
 		f.look()
@@ -154,7 +163,11 @@
 		}
 	}
 	for i := range 240 {
-		add(time.Duration(i)*200*time.Millisecond, fmt.Sprint("sound", i), fmt.Sprint("sound", i), false)
+		prompt := i
+		if f.day.soundPrompts > 0 {
+			prompt = i % f.day.soundPrompts
+		}
+		add(time.Duration(i)*200*time.Millisecond, fmt.Sprint("sound", i), fmt.Sprint("sound", prompt), false)
 	}
 }
 
@@ -281,6 +294,17 @@
 	})
 }
 
+// burst ends one engine in three.
+func (f *itemFleet) burst() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for number, engine := range f.engines {
+		if engine != nil && f.random.IntN(3) == 0 {
+			f.end(number, engine)
+		}
+	}
+}
+
 // look adds up for how long crashing items have been left lying.
 func (f *itemFleet) look() {
 	f.mu.Lock()
