Crashing items: a trial that something else may have ended is followed by the next one soon

Traced: its sound item ran beside lethal ones in four crashes, the last one its trial, and the next trial was due 95 s later, evenly over its retention.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -221,17 +221,17 @@
 
 // nextTrial returns when the next trial of the digest is due, or when it is no longer
 // refused if there is none. After an excused trial the next one comes no later than
-// after the one before. The first trial of an item comes as soon as that of a request, so that
-// what only ran beside a crashing item is cleared.
+// after the one before. The first trial of an item comes as soon as that of a request, so
+// that what only ran beside a crashing item is cleared.
 func (l *Ledger) nextTrial(digest string, live map[Source]sourceCrashes, trials trialTally, traits Traits) time.Time {
 	if trials.count >= len(trialDelays) {
 		return trials.lastAt.Add(Window)
 	}
-	if count := trials.count - trials.excused; count > 0 && !traits.Until.IsZero() {
-		delay := itemDelay(count, traits.Until.Sub(trials.lastAt))
-		return trials.lastAt.Add(delay - l.turn(traits.Content, live, time.Now()))
+	count := trials.count - trials.excused
+	if count > 0 && !traits.Until.IsZero() {
+		return trials.lastAt.Add(l.itemRest(digest, live, trials, traits))
 	}
-	due := trials.lastAt.Add(spread(trialDelays[trials.count-trials.excused], digest))
+	due := trials.lastAt.Add(spread(trialDelays[count], digest))
 	if calm := l.lastCrashBeside(live).Add(calmTime); calm.After(due) {
 		return earlier(calm, due.Add(maxCalmWait))
 	}
