Crashing items: an end long after the send, or among others, tells little

Its trial had ended with its engine, and the next one came 17 s later.

Change: if the engine of a trial ends more than a second after the send, or together with two others, the next trial of an item comes within 4 s. Such an end counts as a trial all the same. The bursts are a test of their own.

--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -26,6 +26,8 @@
 	// aloneWait is how long the trial of a part waits for a request in which no other
 	// part is accused, so that the outcome tells which of them it was.
 	aloneWait = time.Second
+	// soonTime is the time within which something that crashes upstreams ends one.
+	soonTime = time.Second
 	// freshWait is how much longer the trial of a part waits for a request under whose
 	// content and prompt no upstream ended, which can only crash one by its parts.
 	freshWait = 2 * time.Second
@@ -83,6 +85,16 @@
 	return NotTested
 }
 
+// TestOfRun is TestOf for a run that ended with its upstream after the time. What crashes
+// upstreams does so soon after it was sent, so that a later end tells little of contents and prompts.
+func (d Decision) TestOfRun(digest string, ran time.Duration) Test {
+	test := d.TestOf(digest)
+	if test == TestedAlone && !isPart(digest) && ran > soonTime {
+		return TestedTogether
+	}
+	return test
+}
+
 // Test says whether a run that ended in a crash was the trial of a digest.
 type Test string
 
@@ -271,7 +283,7 @@
 // otherPartTested reports whether the source ended a trial of another part too.
 func (l *Ledger) otherPartTested(digest string, source Source, now time.Time) bool {
 	for other, history := range l.histories {
-		if recorded, ok := history.bySource[source]; ok && other != digest && recorded.early && now.Sub(recorded.lastAt) <= Window {
+		if recorded, ok := history.bySource[source]; ok && other != digest && isPart(other) && recorded.early && now.Sub(recorded.lastAt) <= Window {
 			return true
 		}
 	}
@@ -281,13 +293,19 @@
 // inBurst reports whether sources that aren't among the given ones crashed around the
 // time.
 func (l *Ledger) inBurst(at time.Time, sources map[Source]sourceCrashes) bool {
+	return l.endedBeside(at, sources) >= burstUpstreams
+}
+
+// endedBeside returns the number of sources that crashed around the time and aren't among the
+// given ones.
+func (l *Ledger) endedBeside(at time.Time, sources map[Source]sourceCrashes) int {
 	count := 0
 	for source, end := range l.ends {
 		if _, ok := sources[source]; !ok && end.Sub(at).Abs() <= burstTime {
 			count++
 		}
 	}
-	return count >= burstUpstreams
+	return count
 }
 
 // likelierTrial reports whether the source also ended the trial of another digest, under
--- a/bhcrash/rest.go
+++ b/bhcrash/rest.go
@@ -55,7 +55,8 @@
 }
 
 // likelierBeside reports whether the last of the sources also ended under something that isn't
-// among the traits and under which more ended, so that the trial there tells little.
+// among the traits and under which more ended, together with several others, or long after the
+// request was sent. The trial there tells little then.
 func (l *Ledger) likelierBeside(traits Traits, live map[Source]sourceCrashes, now time.Time) bool {
 	var last Source
 	for source, recorded := range live {
@@ -63,6 +64,9 @@
 			last = source
 		}
 	}
+	if live[last].early && !live[last].alone || l.endedBeside(live[last].lastAt, live) >= burstUpstreams-1 {
+		return true
+	}
 	own := traits.All()
 	for digest, history := range l.histories {
 		if _, ended := history.bySource[last]; ended && !slices.Contains(own, digest) && len(history.bySource) > len(live) && len(history.liveSources(now)) > len(live) {
--- a/bhevidence/items_test.go
+++ b/bhevidence/items_test.go
@@ -56,6 +56,10 @@
 	{name: "one prompt in five items", prompts: 1, items: 5, apart: 4 * time.Second},
 	{name: "one prompt in five items, restarts", prompts: 1, items: 5, apart: 4 * time.Second, trouble: restartAll},
 	{name: "few sound prompts", prompts: 1, items: 1, soundPrompts: 10, canRest: true},
+}
+
+// burstItemDays are days on which engines end in bursts, and nothing crashes them.
+var burstItemDays = []itemDay{
 	{name: "bursts, few sound prompts", soundPrompts: 10, bursts: []time.Duration{10 * time.Second, 14 * time.Second, 18 * time.Second}},
 }
 
@@ -329,13 +333,18 @@
 // more than 20 s until it may be given up; each sound item is done within its target.
 //
 //	BAOBAB_MEASURE=1 go test -v -run BothErrorsForItems ./bhevidence   beside trials like those of requests
-func TestBothErrorsForItems(t *testing.T) {
+func TestBothErrorsForItems(t *testing.T) { measureItems(t, itemDays) }
+
+// TestBothErrorsForItemsInBursts is TestBothErrorsForItems for bursts.
+func TestBothErrorsForItemsInBursts(t *testing.T) { measureItems(t, burstItemDays) }
+
+func measureItems(t *testing.T, days []itemDay) {
 	ways := []bool{true}
 	if os.Getenv("BAOBAB_MEASURE") != "" {
 		ways = []bool{false, true}
 	}
 	const seeds = 2
-	for _, day := range itemDays {
+	for _, day := range days {
 		for _, spread := range ways {
 			var sum itemFigures
 			for seed := range uint64(seeds) {
--- a/bhevidence/permit.go
+++ b/bhevidence/permit.go
@@ -50,12 +50,12 @@
 	granted bool
 }
 
-// testOf returns how the run tests the digest.
-func (p *Permit) testOf(digest string) bhcrash.Test {
+// testOf returns how the run, which lasted for the time, tests the digest.
+func (p *Permit) testOf(digest string, ran time.Duration) bhcrash.Test {
 	if p == nil {
 		return bhcrash.NotTested
 	}
-	return p.decision.TestOf(digest)
+	return p.decision.TestOfRun(digest, ran)
 }
 
 // Return gives the right back without a run, so that another request may run the
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -204,7 +204,7 @@
 		"upstream", loss.Upstream.Host, "trial", loss.Permit != nil)
 	var entries []entry
 	for _, digest := range loss.Traits.All() {
-		e := entry{source: loss.Upstream, digest: digest, test: loss.Permit.testOf(digest), at: time.Now()}
+		e := entry{source: loss.Upstream, digest: digest, test: loss.Permit.testOf(digest, time.Since(loss.SentAt)), at: time.Now()}
 		r.ledger.RecordLoss(e.source, e.digest, e.test)
 		r.endLease(e)
 		entries = append(entries, e)
