--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -73,6 +73,7 @@
 	{61666252, "crashes of an engine that was back under its ID before the list showed that counted once"},
 	{2510090992, "the same"},
 	{1979592409, "trials of requests with the lethal part condemned the part that sound ones share with them"},
+	{3672922075, "an item with a lethal prompt ran as the trial of its account's part"},
 }
 
 // seeds returns what to play: fixed seeds in CI, others on demand.
