--- a/bhcrash/rest_test.go
+++ b/bhcrash/rest_test.go
@@ -48,6 +48,27 @@
 	})
 }
 
+// TestLateEndTellsLittle checks that a trial that ended long after the send is followed by the
+// next one soon, and counts all the same.
+func TestLateEndTellsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := NewLedger()
+		item := Traits{Content: digest(kindContent, "item"), Prompt: digest(kindPrompt, "p"), Until: time.Now().Add(time.Minute)}
+		for i := range itemThreshold + len(trialDelays) {
+			waited := time.Now()
+			decision := l.Decide(item)
+			for ; decision.Status == Quarantined; decision = l.Decide(item) {
+				time.Sleep(50 * time.Millisecond)
+			}
+			assert.LessOrEqual(t, time.Since(waited), spread(trialDelays[1], item.Prompt)+maxCalmWait)
+			for _, d := range item.All() {
+				l.RecordLoss(Source{Host: fmt.Sprint("i-", i)}, d, decision.TestOfRun(d, 2*soonTime))
+			}
+		}
+		assert.Greater(t, l.Decide(item).RetryAfter, time.Minute, "no trial is left")
+	})
+}
+
 // TestItemsWithACrashingPromptTakeTurns guards against an item with a crashing prompt that is never
 // tried, since another one with the prompt runs all trials.
 func TestItemsWithACrashingPromptTakeTurns(t *testing.T) {
