--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -247,12 +247,17 @@
 		c.upstreamBroke(ctx, instance, sentAt, err)
 		timer.stop()
 		cancel()
-		if c.r.Context().Err() == nil {
+		var forgotten *bhforward.ForgottenError
+		switch {
+		case errors.As(err, &forgotten):
+			c.gate.metrics.forgotten.Inc(1) // says nothing about the upstream's health
+		case c.r.Context().Err() == nil:
 			c.gate.config.Balancer.Failed(instance.ID, err)
 			c.engineWatch.failed()
 		}
 		return nil, err
 	}
+	c.countConnection(answer)
 	c.framing = answer.Framing
 	timer.reset()
 	if answer.Status != http.StatusMisdirectedRequest {
@@ -286,9 +291,7 @@
 		Header:   header,
 		Body:     c.body,
 		IDHeader: dialect.RequestID,
-		// A request on a kept-alive connection that went silent is lost, so
-		// requests that must not be sent again get a new connection.
-		Reuse: c.route.Kind == bhpolicy.Safe,
+		MaxRest:  c.maxRest(instance, c.choice.load),
 	}
 }
 
@@ -334,35 +337,35 @@
 // whether another upstream may be tried.
 func (c *call) relay(current *attempt) (bool, error) {
 	answer := current.answer
-	head, err := io.ReadAll(io.LimitReader(answer.Body, bufferLimit))
+	limit := c.bufferLimit(answer)
+	head, err := io.ReadAll(io.LimitReader(answer.Body, limit))
 	if err != nil {
 		err = bhcode.Wrap(err, bhcode.AnswerIncomplete, "answer of upstream "+current.instance.ID).WithRan(bhcode.RanYes)
 		current.broke(err)
 		return c.retryable(err), err
 	}
 	length := answer.Length
-	if len(head) < bufferLimit {
+	if int64(len(head)) < limit {
 		length = int64(len(head))
 	}
 	c.writeHead(answer, length)
-	if err := c.write(head); err != nil {
+	if err := c.outbox().write(head); err != nil {
 		return false, err
 	}
-	if len(head) < bufferLimit {
+	if int64(len(head)) < limit {
 		return false, nil
 	}
 	return false, c.relayRest(current)
 }
 
-// relayRest sends the client the part of a large answer after the first
-// bufferLimit bytes.
+// relayRest sends the client the part of a large answer after what was buffered.
 func (c *call) relayRest(current *attempt) error {
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := current.answer.Body.Read(buffer)
 		current.timer.reset()
 		if n > 0 {
-			if err := c.write(buffer[:n]); err != nil {
+			if err := c.outbox().push(buffer[:n]); err != nil {
 				return err
 			}
 		}
@@ -398,14 +401,3 @@
 
 // markHeadSent records that the head of an answer is sent to the client.
 func (c *call) markHeadSent() { c.headSent, c.headDelay = true, time.Since(c.arrived) }
-
-// write sends the client a part of the answer's body. Its only error is
-// errClientGone.
-func (c *call) write(data []byte) error {
-	n, err := c.w.Write(data)
-	c.bytes += int64(n)
-	if err != nil {
-		return errClientGone
-	}
-	return nil
-}
--- a/bhquota/shared_bucket.go
+++ b/bhquota/shared_bucket.go
@@ -11,9 +11,15 @@
 // exceeds the bucket's capacity, and the bucket's own rate plus all leased rates
 // equals the account's rate. So in any window of length w at most
 // capacity + rate x w requests pass, whether or not gateways fail.
+//
+// Where one gateway keeps an account's tokens for all, a part of the tolerance is kept as
+// a credit for each window, for requests that wait while the bucket is empty, as it may be
+// because what a process held that ended may have been used. Capacity and rate are smaller
+// by it, so that the bound holds with the credits.
 package bhquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -29,14 +35,33 @@
 // than 3 s without the store.
 const leaseDuration = 5400 * time.Millisecond
 
-// toleranceReserve is the share of the tolerated excess that stays unused.
-const toleranceReserve = 0.2
+const (
+	// toleranceReserve is the share of the tolerated excess that stays unused.
+	toleranceReserve = 0.2
+	// creditTolerance is the share of Tolerance.Over that is given to requests that wait
+	// while the bucket is empty, in fleets in which one gateway keeps an account's tokens.
+	creditTolerance = 0.6
+	// creditMargin is the time by which a credit counts longer than the window that the
+	// tolerance is for. It covers the time from a write to the use of its tokens.
+	creditMargin = 500 * time.Millisecond
+	// creditDelay is the time for which leases of a larger capacity may last, and the
+	// windows in which their tokens were used.
+	creditDelay = 2 * leaseDuration
+)
 
 // maxLeasedRateShare is the share of an account's rate that may be leased to
 // gateways. The rest refills the bucket itself, for gateways without a leased
 // rate.
 const maxLeasedRateShare = 0.85
 
+// maxCentralShare is the share of the capacity that a gateway prefetches at most if it
+// keeps the tokens for all. The rest outlives it.
+const maxCentralShare = 0.5
+
+// maxStrayShare is the share of the capacity up to which tokens of other gateways don't
+// matter for whether the account has used up its tokens.
+const maxStrayShare = 0.1
+
 // lease is the part of a sharedBucket that one gateway may use until it expires.
 // A gateway that asked for tokens and got none has an empty lease, so that the
 // number of contenders, the gateways that use the account, is known.
@@ -61,6 +86,18 @@
 	UpdatedAt time.Duration `cbor:"2,keyasint"`
 	// Leases are keyed by holder.
 	Leases map[string]lease `cbor:"3,keyasint"`
+	// Credits were given within the last window, beyond what the bucket had.
+	Credits []credit `cbor:"4,keyasint,omitempty"`
+	// ReservedSince is since when all writes have left creditTolerance unused, by the
+	// store's clock; zero if the last one didn't.
+	ReservedSince time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// credit is a number of tokens beyond those that accrue.
+type credit struct {
+	// At is of the store's clock.
+	At     time.Duration `cbor:"1,keyasint"`
+	Tokens float64       `cbor:"2,keyasint"`
 }
 
 // decodeSharedBucket decodes a stored record. An empty value gives a bucket that
@@ -83,17 +120,29 @@
 	// rate is in tokens per second, capacity in tokens.
 	rate     float64
 	capacity float64
+	// credit is the most tokens beyond those that accrue, in each creditPeriod.
+	credit       float64
+	creditPeriod time.Duration
 }
 
 // effectiveLimit returns the account's rate and burst plus the tolerance, of which
-// the share toleranceReserve is left out. It is zero for an account that no longer
-// exists.
-func effectiveLimit(account *bhpolicy.Account, tolerance Tolerance) rateLimit {
+// the share toleranceReserve is left out, and creditTolerance kept for credits if
+// reserved is set. It is zero for an account that no longer exists.
+func effectiveLimit(account *bhpolicy.Account, tolerance Tolerance, reserved bool) rateLimit {
 	if account == nil {
 		return rateLimit{}
 	}
-	factor := 1 + (1-toleranceReserve)*tolerance.Over
-	return rateLimit{rate: account.Rate * factor, capacity: account.Burst*factor + (1-toleranceReserve)*tolerance.Slack}
+	share, credits := 1-toleranceReserve, 0.0
+	if reserved && tolerance.Window > 0 {
+		share, credits = share-creditTolerance, creditTolerance
+	}
+	factor := 1 + share*tolerance.Over
+	return rateLimit{
+		rate:         account.Rate * factor,
+		capacity:     account.Burst*factor + (1-toleranceReserve)*tolerance.Slack,
+		credit:       credits * tolerance.Over * (account.Rate*tolerance.Window.Seconds() + account.Burst),
+		creditPeriod: tolerance.Window + creditMargin,
+	}
 }
 
 // sharedReserve returns how many tokens aren't prefetched but left for gateways
@@ -106,14 +155,16 @@
 func (l lease) maxTokens() float64 { return max(l.Tokens, l.Cap) }
 
 // advance removes expired leases and adds the tokens that have accrued in the
-// bucket since the last update. A lease's rate counts as leased up to its
+// bucket since the last update. It returns the most tokens that were lost with the
+// leases. A lease's rate counts as leased up to its
 // removal, since the holder may have used what accrued.
-func (b *sharedBucket) advance(limit rateLimit, now time.Duration) {
+func (b *sharedBucket) advance(limit rateLimit, now time.Duration) (lost float64) {
 	rate, held := limit.rate, 0.0
 	for holder, l := range b.Leases {
 		rate -= l.Rate
 		if now >= l.ExpiresAt {
 			delete(b.Leases, holder)
+			lost += l.maxTokens()
 			continue
 		}
 		held += l.maxTokens()
@@ -126,17 +177,54 @@
 		b.UpdatedAt = now
 	}
 	b.Level = max(0, min(b.Level, limit.capacity-held))
+	return lost
 }
 
 // dropEarlierProcessLeases removes the leases of earlier processes on the
 // holder's host, which have ended and can't use them any more. Their tokens may
-// have been used, so they don't return to the bucket.
-func (b *sharedBucket) dropEarlierProcessLeases(holder string) {
-	for otherHolder := range b.Leases {
+// have been used, so they don't return to the bucket. It returns the most tokens that
+// were lost.
+func (b *sharedBucket) dropEarlierProcessLeases(holder string) (lost float64) {
+	for otherHolder, l := range b.Leases {
 		if otherHolder != holder && bhhost.HostOf(otherHolder) == bhhost.HostOf(holder) {
 			delete(b.Leases, otherHolder)
+			lost += l.maxTokens()
 		}
 	}
+	return lost
+}
+
+// reserve records whether a write leaves creditTolerance unused.
+func (b *sharedBucket) reserve(reserved bool, now time.Duration) {
+	switch {
+	case !reserved:
+		b.ReservedSince = 0
+	case b.ReservedSince == 0:
+		b.ReservedSince = now
+	}
+}
+
+// credited returns the credits that count still, and drops older ones.
+func (b *sharedBucket) credited(period, now time.Duration) float64 {
+	b.Credits = slices.DeleteFunc(b.Credits, func(c credit) bool { return now-c.At >= period })
+	total := 0.0
+	for _, c := range b.Credits {
+		total += c.Tokens
+	}
+	return total
+}
+
+// addCredit adds up to the given number of tokens to the bucket, as far as the tolerance
+// of the window allows and what the holder has left, remaining tokens, leaves room for.
+// None are added until all writes of a creditDelay have left the tolerance for it.
+func (b *sharedBucket) addCredit(holder string, tokens, remaining float64, limit rateLimit, now time.Duration) {
+	_, otherTokens := b.leasedByOthers(holder)
+	tokens = min(tokens, limit.credit-b.credited(limit.creditPeriod, now), limit.capacity-otherTokens-remaining-b.Level)
+	if tokens <= 0 || b.ReservedSince == 0 || now-b.ReservedSince < creditDelay {
+		return
+	}
+	b.Level += tokens
+	b.Credits = append(b.Credits, credit{At: now, Tokens: tokens})
 }
 
 // leasedByOthers returns the sums of the leased rates and of maxTokens over all
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -27,6 +27,9 @@
 	Listener net.Listener
 	// IdleTimeout returns how long a connection may be idle.
 	IdleTimeout func() time.Duration
+	// WriteBuffer is the size in bytes of a connection's buffer for writes; zero leaves it
+	// to the system.
+	WriteBuffer int
 }
 
 // CallerListener accepts connections of callers and ends them without cutting off a
@@ -35,6 +38,7 @@
 type CallerListener struct {
 	net.Listener
 	idleTimeout func() time.Duration
+	writeBuffer int
 
 	mu       sync.Mutex
 	conns    map[*callerConn]bool
@@ -44,7 +48,7 @@
 // NewCallerListener returns a listener for an http.Server whose idle timeout is
 // IdleTimeoutPlaceholder.
 func NewCallerListener(config CallerListenerConfig) *CallerListener {
-	return &CallerListener{Listener: config.Listener, idleTimeout: config.IdleTimeout, conns: make(map[*callerConn]bool)}
+	return &CallerListener{Listener: config.Listener, idleTimeout: config.IdleTimeout, writeBuffer: config.WriteBuffer, conns: make(map[*callerConn]bool)}
 }
 
 // Accept implements net.Listener. It returns http.ErrServerClosed after Drain.
@@ -58,6 +62,9 @@
 	case err != nil:
 		return nil, err
 	}
+	if socket, ok := accepted.(*net.TCPConn); ok && l.writeBuffer > 0 {
+		_ = socket.SetWriteBuffer(l.writeBuffer)
+	}
 	conn := &callerConn{Conn: accepted, listener: l, idle: true, acceptedAt: time.Now()}
 	l.conns[conn] = true
 	return conn, nil
