--- a/bhcrash/decide.go
+++ b/bhcrash/decide.go
@@ -26,6 +26,11 @@
 	// aloneWait is how long the trial of a part waits for a request in which no other
 	// part is accused, so that the outcome tells which of them it was.
 	aloneWait = time.Second
+	// soonTime is the time within which something that crashes upstreams ends one.
+	soonTime = time.Second
+	// freshWait is how much longer the trial of a part waits for a request under whose
+	// content and prompt no upstream ended, which can only crash one by its parts.
+	freshWait = 2 * time.Second
 )
 
 // trialDelays are the times from the last crash under a crashing digest until its next
@@ -66,8 +71,8 @@
 	RetryAfter time.Duration
 }
 
-// TestOf returns how a run by the decision tests the digest. Beside a suspected prompt or
-// content it tests no part: these are the likelier cause of a crash.
+// TestOf returns how a run by the decision tests the digest. If a prompt or content is the
+// first suspect, it tests no part: these are the likelier cause of a crash.
 func (d Decision) TestOf(digest string) Test {
 	switch {
 	case len(d.Suspects) > 0 && isPart(digest) && !isPart(d.Suspects[0]):
@@ -80,6 +85,16 @@
 	return NotTested
 }
 
+// TestOfRun is TestOf for a run that ended with its upstream after the time. What crashes
+// upstreams does so soon after it was sent, so that a later end tells little of contents and prompts.
+func (d Decision) TestOfRun(digest string, ran time.Duration) Test {
+	test := d.TestOf(digest)
+	if test == TestedAlone && !isPart(digest) && ran > soonTime {
+		return TestedTogether
+	}
+	return test
+}
+
 // Test says whether a run that ended in a crash was the trial of a digest.
 type Test string
 
@@ -122,12 +137,12 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	now := time.Now()
-	accused := l.accused(traits, now)
+	culprits := l.culprits(now)
+	accused := l.accused(traits, culprits, now)
 	if len(accused) == 0 {
 		return Decision{Status: Clear}
 	}
 	decision := Decision{Status: Clear, Together: l.partsWithCrashes(traits, now)}
-	culprits := l.culprits(now)
 	var due time.Time
 	for _, digest := range accused {
 		live := l.histories[digest].liveSources(now)
@@ -137,7 +152,7 @@
 		if trials.count == 0 && !culprits[digest] && len(live) < threshold(digest)+surelyMore {
 			continue
 		}
-		due = later(due, l.nextTrial(digest, live, trials))
+		due = later(due, l.nextTrial(digest, live, trials, traits))
 	}
 	if decision.Status == Clear {
 		return decision
@@ -145,52 +160,67 @@
 	if len(decision.Together) > 1 {
 		due = due.Add(aloneWait)
 	}
+	if isPart(accused[0]) && (l.endedUnder(traits.Content, now) || l.endedUnder(traits.Prompt, now)) {
+		due = due.Add(freshWait)
+	}
 	if wait := due.Sub(now); wait > 0 {
 		return Decision{Status: Quarantined, RetryAfter: wait}
 	}
 	return decision
 }
 
-// accused returns the digests of the traits under which enough upstreams ended: prompt,
-// content and parts in turn, the parts with the most first. The first one names the trial,
-// and requests with the same crashing prompt have other parts and contents beside it.
-func (l *Ledger) accused(traits Traits, now time.Time) []string {
+// accused returns the digests of the traits under which enough upstreams ended: the
+// culprits first, and among them prompt, content and parts in turn, the parts with the most
+// first. The first one names the trial, and requests with the same crashing prompt have
+// other parts and contents beside it.
+func (l *Ledger) accused(traits Traits, culprits map[string]bool, now time.Time) []string {
 	var digests []string
 	sources := make(map[string]int)
 	for _, digest := range traits.All() {
 		history := l.histories[digest]
-		if history == nil || len(history.bySource) < threshold(digest) {
+		if history == nil || len(history.bySource) < traits.threshold(digest) {
 			continue
 		}
-		if count := len(history.liveSources(now)); count >= threshold(digest) {
+		if count := len(history.liveSources(now)); count >= traits.threshold(digest) {
 			sources[digest] = count
 			digests = append(digests, digest)
 		}
 	}
-	slices.SortStableFunc(digests, func(a, b string) int {
-		return cmp.Or(kindRanks[kindOf(a)]-kindRanks[kindOf(b)], sources[b]-sources[a])
-	})
+	rank := func(digest string) int {
+		if culprits[digest] {
+			return kindRanks[kindOf(digest)]
+		}
+		return len(kindRanks) + kindRanks[kindOf(digest)]
+	}
+	slices.SortStableFunc(digests, func(a, b string) int { return cmp.Or(rank(a)-rank(b), sources[b]-sources[a]) })
 	return digests
 }
 
+// endedUnder reports whether any upstream ended under the digest since it last ran whole.
+func (l *Ledger) endedUnder(digest string, now time.Time) bool {
+	history := l.histories[digest]
+	return history != nil && len(history.liveSources(now)) > 0
+}
+
 // partsWithCrashes returns the parts of the traits under which any upstream ended since
 // they last ran whole. A crashing part may have fewer ends than one beside it.
 func (l *Ledger) partsWithCrashes(traits Traits, now time.Time) []string {
 	var parts []string
 	for _, part := range traits.Parts {
-		if history := l.histories[part]; history != nil && len(history.liveSources(now)) > 0 {
+		if l.endedUnder(part, now) {
 			parts = append(parts, part)
 		}
 	}
 	return parts
 }
 
-// DecideAlone is Decide for a single digest, whatever else a request has.
-func (l *Ledger) DecideAlone(digest string) Decision {
+// DecideAlone is Decide for a single digest, whatever else a request has. It is never
+// later than for a request with the digest that may be given up then.
+func (l *Ledger) DecideAlone(digest string, until time.Time) Decision {
 	if isPart(digest) {
-		return l.Decide(Traits{Parts: []string{digest}})
+		return l.Decide(Traits{Parts: []string{digest}, Until: until})
 	}
-	return l.Decide(Traits{Content: digest})
+	return l.Decide(Traits{Prompt: digest, Until: until})
 }
 
 // trialTally sums up the trials of a digest.
@@ -203,12 +233,17 @@
 
 // nextTrial returns when the next trial of the digest is due, or when it is no longer
 // refused if there is none. After an excused trial the next one comes no later than
-// after the one before.
-func (l *Ledger) nextTrial(digest string, live map[Source]sourceCrashes, trials trialTally) time.Time {
+// after the one before. The first trial of an item comes as soon as that of a request, so
+// that what only ran beside a crashing item is cleared.
+func (l *Ledger) nextTrial(digest string, live map[Source]sourceCrashes, trials trialTally, traits Traits) time.Time {
 	if trials.count >= len(trialDelays) {
 		return trials.lastAt.Add(Window)
 	}
-	due := trials.lastAt.Add(spread(trialDelays[trials.count-trials.excused], digest))
+	count := trials.count - trials.excused
+	if count > 0 && !traits.Until.IsZero() {
+		return trials.lastAt.Add(l.itemRest(digest, live, trials, traits))
+	}
+	due := trials.lastAt.Add(spread(trialDelays[count], digest))
 	if calm := l.lastCrashBeside(live).Add(calmTime); calm.After(due) {
 		return earlier(calm, due.Add(maxCalmWait))
 	}
@@ -248,7 +283,7 @@
 // otherPartTested reports whether the source ended a trial of another part too.
 func (l *Ledger) otherPartTested(digest string, source Source, now time.Time) bool {
 	for other, history := range l.histories {
-		if recorded, ok := history.bySource[source]; ok && other != digest && recorded.early && now.Sub(recorded.lastAt) <= Window {
+		if recorded, ok := history.bySource[source]; ok && other != digest && isPart(other) && recorded.early && now.Sub(recorded.lastAt) <= Window {
 			return true
 		}
 	}
@@ -258,13 +293,19 @@
 // inBurst reports whether sources that aren't among the given ones crashed around the
 // time.
 func (l *Ledger) inBurst(at time.Time, sources map[Source]sourceCrashes) bool {
+	return l.endedBeside(at, sources) >= burstUpstreams
+}
+
+// endedBeside returns the number of sources that crashed around the time and aren't among the
+// given ones.
+func (l *Ledger) endedBeside(at time.Time, sources map[Source]sourceCrashes) int {
 	count := 0
 	for source, end := range l.ends {
 		if _, ok := sources[source]; !ok && end.Sub(at).Abs() <= burstTime {
 			count++
 		}
 	}
-	return count >= burstUpstreams
+	return count
 }
 
 // likelierTrial reports whether the source also ended the trial of another digest, under
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -138,7 +138,7 @@
 		r.metrics.refused.Inc(1)
 		return nil, withheld(traits, decision)
 	}
-	permit, wait := r.beginTrial(ctx, decision)
+	permit, wait := r.beginTrial(ctx, decision, traits.Until)
 	if permit == nil {
 		r.metrics.refused.Inc(1)
 		return nil, bhcode.New(bhcode.Withheld, "upstreams ended under %s, of which no further trial may run yet", decision.Suspects[0]).WithRetryAfter(wait)
@@ -204,7 +204,7 @@
 		"upstream", loss.Upstream.Host, "trial", loss.Permit != nil)
 	var entries []entry
 	for _, digest := range loss.Traits.All() {
-		e := entry{source: loss.Upstream, digest: digest, test: loss.Permit.testOf(digest), at: time.Now()}
+		e := entry{source: loss.Upstream, digest: digest, test: loss.Permit.testOf(digest, time.Since(loss.SentAt)), at: time.Now()}
 		r.ledger.RecordLoss(e.source, e.digest, e.test)
 		r.endLease(e)
 		entries = append(entries, e)
