--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -26,21 +26,35 @@
 // usable, and Overloaded if the request would wait too long at each engine. A
 // resumed stream is never refused for that.
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
-	balancer := c.gate.config.Balancer
 	instances := c.instances(service)
 	c.limitWaits = nil
 	c.observeCold(service, instances, nil)
 	if !c.isEngine(service) {
-		instance, ok := c.pickWithinLimit(ctx, service, instances, excluded, nil)
-		if !ok {
-			instance, ok = c.awaitLimit(ctx, service, instances, excluded, nil)
-		}
-		if !ok {
-			return instance, c.noneWithinLimit(service)
-		}
-		return instance, nil
+		return c.pickOrAwait(ctx, service, instances, excluded, nil)
 	}
 	c.choice = engineChoice{}
+	instance, loads, err := c.pickEngine(ctx, service, instances, excluded, resume)
+	if err != nil {
+		return instance, err
+	}
+	load := loads[instance.RunnerAddr]
+	c.choice.load = load
+	if load.Slots > 0 && load.Age <= maxLoadAge && !resume {
+		if err := c.admitTo(service, load, loads); err != nil {
+			c.gate.config.Balancer.Done(instance.ID)
+			return instance, err
+		}
+	}
+	if instance.RunnerAddr.IsValid() {
+		c.gate.config.EngineLoads.Reserve(instance.RunnerAddr, c.caller())
+		c.watchEngine(instance.RunnerAddr)
+	}
+	return instance, nil
+}
+
+// pickEngine asks a sample of the engines for their loads, and more of them if these are full,
+// and picks one. It returns the loads that it was told.
+func (c *call) pickEngine(ctx context.Context, service string, instances []bhwatch.Instance, excluded map[string]bool, resume bool) (bhwatch.Instance, map[netip.AddrPort]bhwire.Room, error) {
 	sample := c.sampleEngines(instances, excluded)
 	loads := c.queryLoads(ctx, service, sample)
 	candidates := sample
@@ -50,29 +64,32 @@
 			candidates = c.widen(ctx, service, instances, candidates, excluded, loads)
 		}
 	}
-	instance, ok := c.pickSoonest(ctx, service, candidates, excluded, loads)
-	if !ok && len(candidates) == len(sample) {
-		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
-		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
+	if instance, ok := c.pickSoonest(ctx, service, candidates, excluded, loads); ok {
+		return instance, loads, nil
 	}
-	if !ok {
-		instance, ok = c.awaitLimit(ctx, service, candidates, excluded, loads)
+	if len(candidates) > len(sample) {
+		instance, err := c.await(ctx, service, candidates, excluded, loads)
+		return instance, loads, err
+	}
+	candidates = c.widen(ctx, service, instances, sample, excluded, loads)
+	instance, err := c.pickOrAwait(ctx, service, candidates, excluded, loads)
+	return instance, loads, err
+}
+
+// pickOrAwait picks one of the candidates, if need be one whose limit allows the request soon.
+func (c *call) pickOrAwait(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, error) {
+	if instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads); ok {
+		return instance, nil
 	}
+	return c.await(ctx, service, candidates, excluded, loads)
+}
+
+// await picks a candidate whose limit allows the request soon.
+func (c *call) await(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, error) {
+	instance, ok := c.awaitLimit(ctx, service, candidates, excluded, loads)
 	if !ok {
 		return instance, c.noneWithinLimit(service)
 	}
-	load := loads[instance.RunnerAddr]
-	c.choice.load = load
-	if load.Slots > 0 && load.Age <= maxLoadAge && !resume {
-		if err := c.admitTo(service, load, loads); err != nil {
-			balancer.Done(instance.ID)
-			return instance, err
-		}
-	}
-	if instance.RunnerAddr.IsValid() {
-		c.gate.config.EngineLoads.Reserve(instance.RunnerAddr, c.caller())
-		c.watchEngine(instance.RunnerAddr)
-	}
 	return instance, nil
 }
 
--- a/bhjob/freshness.go
+++ b/bhjob/freshness.go
@@ -36,3 +36,11 @@
 	list := r.jobs[partition(job.Account)]
 	return list != nil && r.recent(list.readAt)
 }
+
+// storeNow returns the reading of the store's clock, or a later one if the last read of it
+// was slow. The caller holds r.mu.
+func (r *Runner) storeNow() time.Duration { return r.config.Clock.Now() + r.clockOffset }
+
+// expired reports whether items of the job aren't sent any more. The next read of the jobs
+// gives them up. The caller holds r.mu.
+func (r *Runner) expired(job *Job) bool { return r.storeNow() > job.Expires }
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -470,14 +470,6 @@
 	return nil
 }
 
-// storeNow returns the reading of the store's clock, or a later one if the last read of it
-// was slow. The caller holds r.mu.
-func (r *Runner) storeNow() time.Duration { return r.config.Clock.Now() + r.clockOffset }
-
-// expired reports whether items of the job aren't sent any more. The next read of the jobs
-// gives them up. The caller holds r.mu.
-func (r *Runner) expired(job *Job) bool { return r.storeNow() > job.Expires }
-
 // Close stops all runs, returns their claims and waits until that is done or
 // ctx is. Then it removes the runner's heartbeat record and returns the error
 // of the removal.
