Rates: a line without a known rate stays empty

Cause: before a keeper's first round the rate is zero, and a draw that told of no refusals made the line 5 s long, so that the first requests over the rate were sent away for that long.

--- a/bhquota/drawer_test.go
+++ b/bhquota/drawer_test.go
@@ -155,7 +155,9 @@
 }
 
 func TestRefusedRequestsAreToldToReturnInLine(t *testing.T) {
-	line := refusalLine{rate: 10}
+	var line refusalLine
+	line.add(time.Second, 3)
+	line.rate = 10
 	assert.Equal(t, 100*time.Millisecond, line.wait(time.Second))
 	line.add(time.Second, 5)
 	assert.Equal(t, 600*time.Millisecond, line.wait(time.Second))
--- a/bhquota/refusal_line.go
+++ b/bhquota/refusal_line.go
@@ -12,7 +12,11 @@
 }
 
 // add adds refused requests at the end of the line, which is at most maxRetryAfter long.
+// Those of an account whose rate isn't known yet don't count.
 func (l *refusalLine) add(now time.Duration, count int) {
+	if count == 0 || l.rate <= 0 {
+		return
+	}
 	l.servedAt = min(now+maxRetryAfter, max(now, l.servedAt)+tokensDuration(float64(count), l.rate))
 }
 
