--- a/bhquota/credit_test.go
+++ b/bhquota/credit_test.go
@@ -47,3 +47,18 @@
 		assert.Zero(t, unknown.credit, "the window is unknown")
 	}
 }
+
+// While another lease has all of the rate that may be leased, what refills the bucket has
+// room there.
+func TestLeaseWithoutARateTakesNoRoomFromTheBucket(t *testing.T) {
+	limit := effectiveLimit(&bhpolicy.Account{Rate: 100, Burst: 100}, tolerance, true)
+	half := limit.capacity / 2
+	b := &sharedBucket{UpdatedAt: time.Second, Level: half, Leases: map[string]lease{
+		"silent.1": {Tokens: half, Rate: maxLeasedRateShare * limit.rate, Cap: half, ExpiresAt: time.Hour},
+	}}
+	l := b.updateLease("a.1", limit, 0, leaseTarget{tokens: half, waiting: half, rate: limit.rate, cap: half})
+	l.Tokens, l.ExpiresAt = 0, time.Hour
+	b.Leases["a.1"], b.Level = l, 0
+	b.advance(limit, 2*time.Second)
+	assert.InDelta(t, (1-maxLeasedRateShare)*limit.rate, b.Level, 0.001)
+}
