Revert "Limits: grants follow urgency, and live requests wait for the next one"

Denied requests ask at several upstreams, so that their demand is counted several times; and a bucket of two tokens that has to be full before an item gets one loses what comes in until the runner asks again.

--- a/bhcap/ledger.go
+++ b/bhcap/ledger.go
@@ -11,14 +11,6 @@
 	// in which as many arrive at a higher limit.
 	leastBurst = 2
 	burstTime  = time.Second
-	// reserveTime is the time for which the recent demand of more urgent requests is left for
-	// them.
-	reserveTime = 3 * time.Second
-	// maxPatience bounds how long before its use a request is granted: the limit may fall
-	// meanwhile.
-	maxPatience = time.Second
-	// leastDemand is a demand in requests a second that counts as none.
-	leastDemand = 1e-3
 	// maxWait is the wait that is told where none is due, as with a limit of 0.
 	maxWait = 5 * time.Second
 	// maxUpstreams bounds the upstreams that a ledger remembers, forgetAfter the time for
@@ -65,7 +57,6 @@
 	// while it is cold.
 	limit  tokens
 	warmUp tokens
-	demand demand
 }
 
 // Decision says whether a request may be sent.
@@ -75,8 +66,6 @@
 	// the lowest limit.
 	Limited bool
 	Rate    float64
-	// Delay is how long the sender must wait before it sends a granted request.
-	Delay time.Duration
 	// Wait is the time until the next request may be granted.
 	Wait time.Duration
 }
@@ -175,47 +164,41 @@
 	return Cold{}
 }
 
-// Take takes the right to send one request to the upstream, as the owner of its limits. What
-// more urgent requests take by their recent demand is left for them. If there is nothing left
-// now, a patient request takes what is next, before the less urgent ones that ask later.
-func (l *Ledger) Take(upstream Upstream, ask Ask, now time.Time) Decision {
+// Take takes the right to send one request to the upstream, as the owner of its limits.
+func (l *Ledger) Take(upstream Upstream, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	known.demand.add(ask.Class, now)
-	if decision := l.look(known, limits, ask.Class, now); decision.Wait > max(0, min(ask.Patience, maxPatience)) {
-		return decision
-	}
-	delay := time.Duration(0)
-	for _, limit := range limits {
-		delay = max(delay, limit.ownedBucket(now).ReserveN(now, 1).DelayFrom(now))
+	decision := look(known, limits, now)
+	if decision.Granted {
+		for _, limit := range limits {
+			limit.ownedBucket(now).AllowN(now, 1)
+		}
+		decision = look(known, limits, now)
+		decision.Granted = true
 	}
-	decision := l.look(known, limits, ask.Class, now)
-	decision.Granted, decision.Delay = true, delay
 	return decision
 }
 
 // Look returns what Take would, without taking.
-func (l *Ledger) Look(upstream Upstream, class Class, now time.Time) Decision {
+func (l *Ledger) Look(upstream Upstream, now time.Time) Decision {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, limits := l.limits(upstream, now)
 	if known == nil {
 		return Decision{Granted: true}
 	}
-	return l.look(known, limits, class, now)
+	return look(known, limits, now)
 }
 
-// look decides on one request as the owner. The caller holds l.mu.
-func (l *Ledger) look(known *limited, limits []*tokens, class Class, now time.Time) Decision {
+// look decides on one request as the owner.
+func look(known *limited, limits []*tokens, now time.Time) Decision {
 	decision := Decision{Limited: true, Rate: known.lowest(now)}
-	wanted := known.demand.moreUrgent(class, now) * reserveTime.Seconds()
 	for _, limit := range limits {
-		bucket := limit.ownedBucket(now)
-		decision.Wait = max(decision.Wait, waitOf(bucket, min(wanted, float64(limit.burst-1)), now))
+		decision.Wait = max(decision.Wait, waitOf(limit.ownedBucket(now), now))
 	}
 	decision.Granted = decision.Wait == 0
 	return decision
@@ -232,13 +215,13 @@
 	}
 	decision := Decision{Limited: true, Granted: true, Rate: known.lowest(now)}
 	for _, limit := range limits {
-		wait := waitOf(limit.shareBucket(senders, now), 0, now)
+		wait := waitOf(limit.shareBucket(senders, now), now)
 		decision.Wait, decision.Granted = max(decision.Wait, wait), decision.Granted && wait == 0
 	}
 	for _, limit := range limits {
 		if decision.Granted {
 			limit.share.AllowN(now, 1)
-			decision.Wait = max(decision.Wait, waitOf(limit.share, 0, now))
+			decision.Wait = max(decision.Wait, waitOf(limit.share, now))
 		}
 	}
 	return decision
--- a/bhcap/tokens.go
+++ b/bhcap/tokens.go
@@ -1,7 +1,6 @@
 package bhcap
 
 import (
-	"math"
 	"math/rand/v2"
 	"time"
 
@@ -50,9 +49,9 @@
 	return t.share
 }
 
-// waitOf returns the time until the bucket has a token beside the reserved ones.
-func waitOf(bucket *rate.Limiter, reserved float64, now time.Time) time.Duration {
-	missing := 1 + reserved - bucket.TokensAt(now)
+// waitOf returns the time until the bucket has a token.
+func waitOf(bucket *rate.Limiter, now time.Time) time.Duration {
+	missing := 1 - bucket.TokensAt(now)
 	switch {
 	case missing <= 0:
 		return 0
@@ -61,43 +60,3 @@
 	}
 	return min(maxWait, time.Duration(missing/float64(bucket.Limit())*float64(time.Second))+time.Millisecond)
 }
-
-// demandTime is the time over which recent demand is averaged.
-const demandTime = 2 * time.Second
-
-// demand is the recent requests a second for one upstream, by their class.
-type demand struct {
-	recent map[Class]float64
-	at     time.Time
-}
-
-// add counts one request.
-func (d *demand) add(class Class, now time.Time) {
-	d.decay(now)
-	if d.recent == nil {
-		d.recent = make(map[Class]float64)
-	}
-	d.recent[class] += 1 / demandTime.Seconds()
-}
-
-// moreUrgent returns the requests a second of the classes that are more urgent.
-func (d *demand) moreUrgent(class Class, now time.Time) float64 {
-	d.decay(now)
-	sum := 0.0
-	for other, perSecond := range d.recent {
-		if other < class {
-			sum += perSecond
-		}
-	}
-	return sum
-}
-
-func (d *demand) decay(now time.Time) {
-	factor := math.Exp(-max(0, now.Sub(d.at).Seconds()) / demandTime.Seconds())
-	for class, perSecond := range d.recent {
-		if d.recent[class] = perSecond * factor; d.recent[class] < leastDemand {
-			delete(d.recent, class)
-		}
-	}
-	d.at = now
-}
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -82,9 +82,9 @@
 	// framing is that of the last answer of an upstream.
 	framing bhforward.Framing
 	choice  engineChoice
-	// limitWaits is the time until an upstream that was passed over for its limits takes a
-	// request, by instance ID.
-	limitWaits map[string]time.Duration
+	// limitWait is the least time until an upstream that was passed over for its limit takes
+	// a request; zero if none was.
+	limitWait time.Duration
 	// jobID is the ID of the job that the call submits, reads or ends.
 	jobID string
 	// headSent is set when the head of an answer is sent to the client; headDelay
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -27,13 +27,10 @@
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
 	balancer := c.gate.config.Balancer
 	instances := c.instances(service)
-	c.limitWaits = nil
+	c.limitWait = 0
 	c.observeCold(service, instances, nil)
 	if !c.isEngine(service) {
 		instance, ok := c.pickWithinLimit(ctx, service, instances, excluded, nil)
-		if !ok {
-			instance, ok = c.awaitLimit(ctx, service, instances, excluded, nil)
-		}
 		if !ok {
 			return instance, c.noneWithinLimit(service)
 		}
@@ -51,9 +48,6 @@
 		candidates = c.widen(ctx, service, instances, sample, excluded, loads)
 		instance, ok = c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	}
-	if !ok {
-		instance, ok = c.awaitLimit(ctx, service, candidates, excluded, loads)
-	}
 	if !ok {
 		return instance, c.noneWithinLimit(service)
 	}
--- a/bhgate/limit.go
+++ b/bhgate/limit.go
@@ -1,19 +1,15 @@
 package bhgate
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"net/netip"
-	"slices"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
-	"github.com/baobabhaven/baobabhaven/bhpolicy"
-	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -24,9 +20,8 @@
 // Limits keeps the whole fleet to the limits that upstreams name, and to what they tolerate
 // while they are cold.
 type Limits interface {
-	// Take takes the right to send one request to the instance, which may be an engine. The
-	// caller waits for the delay of the decision.
-	Take(ctx context.Context, instance bhwatch.Instance, engine bool, ask bhcap.Ask) bhcap.Decision
+	// Take takes the right to send one request to the instance, which may be an engine.
+	Take(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision
 	// ObserveCold adds that the instance, which may be an engine, is cold.
 	ObserveCold(instance bhwatch.Instance, engine bool, cold bhcap.Cold)
 	// Observe adds what an answer of the instance said about its limit.
@@ -37,8 +32,8 @@
 type ownLimits struct{ ledger *bhcap.Ledger }
 
 // Take implements Limits.
-func (l ownLimits) Take(_ context.Context, instance bhwatch.Instance, _ bool, ask bhcap.Ask) bhcap.Decision {
-	return l.ledger.Take(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, ask, time.Now())
+func (l ownLimits) Take(_ context.Context, instance bhwatch.Instance, _ bool) bhcap.Decision {
+	return l.ledger.Take(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, time.Now())
 }
 
 // ObserveCold implements Limits.
@@ -51,74 +46,33 @@
 	l.ledger.Observe(bhcap.Upstream{ID: instance.ID, Born: instance.Born}, naming)
 }
 
-// pickWithinLimit picks an instance like Balancer.Pick whose limits allow the request now. It
-// returns false if there is none.
+// pickWithinLimit picks an instance like Balancer.Pick whose limit, if it names one, allows
+// the request. It returns false if there is none.
 func (c *call) pickWithinLimit(ctx context.Context, service string, instances []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, bool) {
+	engine := c.isEngine(service)
 	for _, instance := range instances {
 		if wait := loads[instance.RunnerAddr].Wait; wait > 0 && !excluded[instance.ID] {
-			c.passedOver(instance, wait)
+			c.passedOver(wait)
 		}
 	}
-	allowed, refused := withinLimits(instances, loads), maps.Clone(excluded)
+	allowed := withinLimits(instances, loads)
+	refused := maps.Clone(excluded)
 	for range maxLimitAsks {
 		instance, ok := c.gate.config.Balancer.Pick(allowed, refused, loads)
 		if !ok {
 			return instance, false
 		}
-		decision := c.gate.config.Limits.Take(ctx, instance, c.isEngine(service), c.ask(0))
+		decision := c.gate.config.Limits.Take(ctx, instance, engine)
 		if decision.Granted {
 			return instance, true
 		}
 		c.gate.config.Balancer.Done(instance.ID)
 		refused[instance.ID] = true
-		c.passedOver(instance, decision.Wait)
+		c.passedOver(decision.Wait)
 	}
 	return bhwatch.Instance{}, false
 }
 
-// awaitLimit takes what an instance that was passed over for its limits grants next, and waits
-// for it, if the request is then still answered within its latency objective. It returns
-// false if no instance grants that.
-func (c *call) awaitLimit(ctx context.Context, service string, instances []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, bool) {
-	if c.route.LatencyObjective <= 0 {
-		return bhwatch.Instance{}, false
-	}
-	patience := time.Until(c.arrived.Add(c.route.LatencyObjective)) - c.gate.times.of(service).First
-	soonest := slices.DeleteFunc(slices.Clone(instances), func(instance bhwatch.Instance) bool {
-		wait, limited := c.limitWaits[instance.ID]
-		return !limited || wait > patience || excluded[instance.ID]
-	})
-	slices.SortFunc(soonest, func(a, b bhwatch.Instance) int { return cmp.Compare(c.limitWaits[a.ID], c.limitWaits[b.ID]) })
-	for _, candidate := range soonest[:min(len(soonest), maxLimitAsks)] {
-		instance, ok := c.gate.config.Balancer.Pick([]bhwatch.Instance{candidate}, excluded, loads)
-		if !ok {
-			continue
-		}
-		decision := c.gate.config.Limits.Take(ctx, instance, c.isEngine(service), c.ask(patience))
-		if decision.Granted && bhtree.Sleep(ctx, decision.Delay) && c.stillAllowed(instance) {
-			return instance, true
-		}
-		c.gate.config.Balancer.Done(instance.ID)
-		if decision.Granted {
-			break // the call ended, or the policy changed
-		}
-		c.passedOver(instance, decision.Wait)
-	}
-	return bhwatch.Instance{}, false
-}
-
-// ask returns the question whether the call may be sent to an instance with limits.
-func (c *call) ask(patience time.Duration) bhcap.Ask {
-	return bhcap.Ask{Class: bhcap.LiveClass(bhpolicy.PriorityOf(c.route, c.account)), Patience: patience}
-}
-
-// stillAllowed reports whether the call may be sent to the instance by the newest view: its
-// policy is the one of the call.
-func (c *call) stillAllowed(instance bhwatch.Instance) bool {
-	view := c.gate.config.Policies.View()
-	return view.Index == c.view.Index && view.Serves(instance) && !view.Evacuated[instance.Zone]
-}
-
 // observeCold adds which of the service's instances are cold: those whose records say so, or
 // the runners that told of their loads.
 func (c *call) observeCold(service string, instances []bhwatch.Instance, loads map[netip.AddrPort]bhwire.Room) {
@@ -150,24 +104,22 @@
 	return allowed
 }
 
-// passedOver records that an upstream was passed over because its limits allow no request
+// passedOver records that an upstream was passed over because its limit allows no request
 // for the time.
-func (c *call) passedOver(instance bhwatch.Instance, wait time.Duration) {
-	if c.limitWaits == nil {
-		c.limitWaits = make(map[string]time.Duration)
+func (c *call) passedOver(wait time.Duration) {
+	if c.limitWait == 0 || wait < c.limitWait {
+		c.limitWait = max(wait, time.Millisecond)
 	}
-	c.limitWaits[instance.ID] = max(wait, time.Millisecond)
 }
 
 // noneWithinLimit returns the error of a call for which no upstream is left that its limit
 // allows: that of noUpstream if no limit is the reason.
 func (c *call) noneWithinLimit(service string) error {
-	if len(c.limitWaits) == 0 {
+	if c.limitWait == 0 {
 		return c.noUpstream(service)
 	}
-	wait := slices.Min(slices.Collect(maps.Values(c.limitWaits)))
 	c.gate.metrics.limited.Inc(1)
-	return bhcode.New(bhcode.Overloaded, "the limits that upstreams of service %q name allow no request for %s", service, wait).WithRetryAfter(wait)
+	return bhcode.New(bhcode.Overloaded, "the limits that upstreams of service %q name allow no request for %s", service, c.limitWait).WithRetryAfter(c.limitWait)
 }
 
 // isEngine reports whether the service's upstreams are engines, with a runner beside each.
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -108,7 +108,7 @@
 	if err != nil {
 		return err
 	}
-	if err := ir.runner.takeLimit(ir.job); err != nil {
+	if err := ir.runner.takeLimit(); err != nil {
 		permit.Return()
 		return err
 	}
--- a/bhjob/limit.go
+++ b/bhjob/limit.go
@@ -5,7 +5,6 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcap"
 	"github.com/baobabhaven/baobabhaven/bhlog"
-	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -32,16 +31,9 @@
 	}
 }
 
-// takeLimit takes the right to send an item of the job to the engine. The error is a
-// limitedError.
-func (r *Runner) takeLimit(job *Job) error {
-	priority := 0
-	if index := r.config.Policies.View().Index; index != nil {
-		if route := index.RouteNamed(job.Route); route != nil {
-			priority = bhpolicy.PriorityOf(route, index.AccountNamed(job.Account))
-		}
-	}
-	if decision := r.config.Limits.Take(bhcap.RunnersEngine, bhcap.Ask{Class: bhcap.ItemClass(priority)}, time.Now()); !decision.Granted {
+// takeLimit takes the right to send one item to the engine. The error is a limitedError.
+func (r *Runner) takeLimit() error {
+	if decision := r.config.Limits.Take(bhcap.RunnersEngine, time.Now()); !decision.Granted {
 		return &limitedError{wait: decision.Wait}
 	}
 	return nil
@@ -76,5 +68,5 @@
 // mayStart reports whether items may be started at the engine: what this runner knows of
 // policy and jobs is fresh, and the engine's limit allows a request.
 func (r *Runner) mayStart() bool {
-	return r.fresh() && r.config.Limits.Look(bhcap.RunnersEngine, bhcap.ItemClass(0), time.Now()).Granted
+	return r.fresh() && r.config.Limits.Look(bhcap.RunnersEngine, time.Now()).Granted
 }
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -158,7 +158,7 @@
 // items use.
 func (r *Runner) capacity() bhwire.Room {
 	limits, asked := r.config.Limits, time.Now()
-	limit, newest, cold := limits.Look(bhcap.RunnersEngine, bhcap.LiveClass(0), asked), limits.Newest(bhcap.RunnersEngine), limits.Cold(bhcap.RunnersEngine, asked)
+	limit, newest, cold := limits.Look(bhcap.RunnersEngine, asked), limits.Newest(bhcap.RunnersEngine), limits.Cold(bhcap.RunnersEngine, asked)
 	var heard time.Duration
 	if !newest.At.IsZero() {
 		heard = max(1, asked.Sub(newest.At))
--- a/bhpass/registry.go
+++ b/bhpass/registry.go
@@ -68,7 +68,6 @@
 	granted tally.Counter
 	denied  tally.Counter
 	alone   tally.Counter
-	delayed tally.Counter
 }
 
 // New returns a registry.
@@ -78,7 +77,6 @@
 		granted: config.Scope.Counter("limit_granted"),
 		denied:  config.Scope.Counter("limit_denied"),
 		alone:   config.Scope.Counter("limit_without_owner"),
-		delayed: config.Scope.Counter("limit_delayed"),
 	}
 }
 
@@ -90,19 +88,16 @@
 	socket.Handle(bhwire.KindCold, r.handleCold)
 }
 
-// Take takes the right to send one request to the instance, which may be an engine with a
-// runner. It takes some milliseconds if the instance has a limit, and no time otherwise. The
-// caller waits for the delay of the decision.
-func (r *Registry) Take(ctx context.Context, instance bhwatch.Instance, engine bool, ask bhcap.Ask) bhcap.Decision {
-	if known := r.config.Ledger.Look(upstreamOf(instance), ask.Class, time.Now()); !known.Limited {
+// Take takes the right to send one request to the instance, which may be an
+// engine with a runner. It takes some milliseconds if the instance has a limit, and no time
+// otherwise.
+func (r *Registry) Take(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision {
+	if known := r.config.Ledger.Look(upstreamOf(instance), time.Now()); !known.Limited {
 		return bhcap.Decision{Granted: true}
 	}
-	decision := r.takeLimited(ctx, instance, engine, ask)
+	decision := r.takeLimited(ctx, instance, engine)
 	if decision.Granted {
 		r.granted.Inc(1)
-		if decision.Delay > 0 {
-			r.delayed.Inc(1)
-		}
 	} else {
 		r.denied.Inc(1)
 		bhlog.Trace(r.config.Logger, "limit.denied", "upstream", instance.ID, "limit", decision.Rate, "wait", decision.Wait)
@@ -111,14 +106,14 @@
 }
 
 // takeLimited asks the owner of the limit, or takes this process's share without it.
-func (r *Registry) takeLimited(ctx context.Context, instance bhwatch.Instance, engine bool, ask bhcap.Ask) bhcap.Decision {
+func (r *Registry) takeLimited(ctx context.Context, instance bhwatch.Instance, engine bool) bhcap.Decision {
 	upstream := upstreamOf(instance)
 	owner, isSelf := r.owner(instance, engine)
 	if isSelf && r.settled() {
-		return r.config.Ledger.Take(upstream, ask, time.Now())
+		return r.config.Ledger.Take(upstream, time.Now())
 	}
 	if owner.IsValid() {
-		if decision, answered := r.ask(ctx, owner, upstream, ask); answered {
+		if decision, answered := r.ask(ctx, owner, upstream); answered {
 			return decision
 		}
 	}
@@ -143,9 +138,9 @@
 func (r *Registry) settled() bool { return r.config.Peers.ListedFor() >= bhcap.SettleTime }
 
 // ask asks the owner for one request. It reports false if it didn't answer or isn't the owner.
-func (r *Registry) ask(ctx context.Context, owner netip.AddrPort, upstream bhcap.Upstream, ask bhcap.Ask) (bhcap.Decision, bool) {
+func (r *Registry) ask(ctx context.Context, owner netip.AddrPort, upstream bhcap.Upstream) (bhcap.Decision, bool) {
 	askedAt := time.Now()
-	pass := bhwire.Pass{Limit: r.naming(upstream, askedAt), Class: int(ask.Class), Patience: ask.Patience, Cold: r.cold(upstream, askedAt)}
+	pass := bhwire.Pass{Limit: r.naming(upstream, askedAt), Cold: r.cold(upstream, askedAt)}
 	frame, ok := r.config.Peers.Ask(ctx, passWait, bhwire.KindPass, pass, owner)[owner]
 	if !ok || time.Since(askedAt) > 2*passWait {
 		return bhcap.Decision{}, false // a process that was suspended must not use an old grant
@@ -159,7 +154,7 @@
 		return bhcap.Decision{}, false
 	}
 	r.merge(passed.Limit)
-	return bhcap.Decision{Granted: passed.Granted, Limited: true, Rate: passed.Limit.Limit, Delay: max(0, min(passed.Delay, ask.Patience)), Wait: passed.Wait}, true
+	return bhcap.Decision{Granted: passed.Granted, Limited: true, Rate: passed.Limit.Limit, Wait: passed.Wait}, true
 }
 
 // naming returns what this process knows of the upstream's limit.
@@ -200,10 +195,10 @@
 	}
 	upstream, now := r.named(pass.Limit), time.Now()
 	r.mergeCold(upstream, pass.Cold)
-	decision := r.config.Ledger.Take(upstream, bhcap.Ask{Class: bhcap.Class(max(0, pass.Class)), Patience: pass.Patience}, now)
+	decision := r.config.Ledger.Take(upstream, now)
 	limit := r.naming(upstream, time.Now())
 	limit.Upstream, limit.Born = pass.Limit.Upstream, pass.Limit.Born
-	return bhwire.KindPassed, bhwire.Passed{Owned: true, Granted: decision.Granted, Limit: limit, Delay: decision.Delay, Wait: decision.Wait}
+	return bhwire.KindPassed, bhwire.Passed{Owned: true, Granted: decision.Granted, Limit: limit, Wait: decision.Wait}
 }
 
 // owns reports whether this process grants requests to the upstream: two that both believe
--- a/bhsidecar/limit.go
+++ b/bhsidecar/limit.go
@@ -16,7 +16,7 @@
 // the time to come back. All requests to an upstream pass its host's sidecar, which so owns
 // its limit.
 func (u *upstream) takeLimit() error {
-	decision := u.limits.Take(bhcap.Upstream{ID: u.config.Name}, bhcap.Ask{}, time.Now())
+	decision := u.limits.Take(bhcap.Upstream{ID: u.config.Name}, time.Now())
 	if decision.Granted {
 		return nil
 	}
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -118,26 +118,16 @@
 // Pass asks the owner of an upstream's limit for the right to send one request
 // there, and says what the sender knows of the limit.
 type Pass struct {
-	// How urgent the request is; lower ones go first, of live requests from 0.
-	Class int `json:"class"`
-
 	// Cold corresponds to the JSON schema field "cold".
 	Cold Cold `json:"cold"`
 
 	// Limit corresponds to the JSON schema field "limit".
 	Limit Named `json:"limit"`
-
-	// How long the request may wait until it is sent.
-	Patience time.Duration `json:"patience"`
 }
 
 // Passed answers a pass.
 type Passed struct {
-	// How long the asker must wait before it sends a granted request; at most its
-	// patience.
-	Delay time.Duration `json:"delay"`
-
-	// Whether the asker may send the request, after the delay.
+	// Whether the asker may send the request, at once.
 	Granted bool `json:"granted"`
 
 	// Limit corresponds to the JSON schema field "limit".
