--- a/bhforward/exchange_test.go
+++ b/bhforward/exchange_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -70,7 +71,7 @@
 func newTestRequest(id string) *Request {
 	return &Request{
 		Method: http.MethodPost, Target: "/a/../b?x=1&y=%2F", Host: "one.example",
-		Header: http.Header{"X-Request-Id": {id}}, Body: []byte("body"), IDHeader: "X-Request-Id", Reuse: true,
+		Header: http.Header{"X-Request-Id": {id}}, Body: []byte("body"), IDHeader: "X-Request-Id", MaxRest: time.Second,
 	}
 }
 
@@ -125,7 +126,9 @@
 				waitClosed(t, pool, upstream.address())
 			}
 			request := newTestRequest("r")
-			request.Reuse = c.reuse
+			if !c.reuse {
+				request.MaxRest = 0
+			}
 			answer, err = pool.Exchange(t.Context(), upstream.address(), request)
 			require.NoError(t, err)
 			assert.Equal(t, c.reused, answer.Reused)
@@ -142,7 +145,7 @@
 		pool.mu.Lock()
 		defer pool.mu.Unlock()
 		conns := pool.idle[address]
-		return len(conns) == 0 || !conns[0].usable()
+		return len(conns) == 0 || !conns[0].usable(time.Minute)
 	}, 5*time.Second, time.Millisecond)
 }
 
@@ -314,3 +317,35 @@
 		assert.Equal(t, c.want, got, c.value)
 	}
 }
+
+// The deadline of the request ends the wait for an upstream that doesn't read a large
+// body.
+func TestUnreadBodyEndsAtTheDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer listener.Close()
+	accepted := make(chan net.Conn, 1)
+	go func() {
+		if conn, err := listener.Accept(); err == nil {
+			accepted <- conn
+		}
+	}()
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	request := newTestRequest("r")
+	request.Body = make([]byte, 64<<20)
+	startedAt := time.Now()
+	pool := NewPool()
+	defer pool.Close()
+	_, err = pool.Exchange(ctx, listener.Addr().String(), request)
+	require.Error(t, err)
+	assert.Equal(t, bhcode.RanUnknown, bhcode.From(err).Ran)
+	assert.Less(t, time.Since(startedAt), 2*time.Second)
+	conn := <-accepted
+	defer conn.Close()
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	read, err := io.Copy(io.Discard, conn)
+	assert.Less(t, read, int64(64<<20), "the rest isn't sent")
+	var timeout net.Error
+	assert.False(t, errors.As(err, &timeout) && timeout.Timeout(), "the connection is closed")
+}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -23,7 +23,7 @@
 	if err == nil && !c.firstEventAt.IsZero() && c.choice.load.Slots > 0 && !full(c.choice.load) {
 		c.gate.times.observe(first.instance.Service, c.firstEventAt.Sub(first.sentAt), time.Since(first.sentAt))
 	}
-	if err == nil || err == errClientGone {
+	if err == nil || isReaderError(err) {
 		return err
 	}
 	excluded := map[string]bool{first.instance.ID: true}
@@ -75,7 +75,7 @@
 	}
 	progress.Resume()
 	err = c.relayEvents(resumed, progress)
-	return err != nil && err != errClientGone, err
+	return err != nil && !isReaderError(err), err
 }
 
 // relayEvents relays complete events until the stream ends. An incomplete event
@@ -86,11 +86,12 @@
 	})
 	for {
 		events, err := reader.Next()
-		if len(events) > 0 {
-			current.timer.reset() // bytes that become no event are silence
-		}
-		if failure := c.writeEvents(events); failure != nil {
-			return failure
+		if len(events) > 0 { // bytes that become no event are silence
+			current.timer.stop() // a wait for the client isn't
+			if failure := c.writeEvents(events); failure != nil {
+				return failure
+			}
+			current.timer.reset()
 		}
 		switch {
 		case err == io.EOF:
@@ -106,18 +107,11 @@
 }
 
 func (c *call) writeEvents(events []byte) error {
-	if len(events) == 0 {
-		return nil
-	}
 	c.engineWatch.answered()
 	if c.firstEventAt.IsZero() {
 		c.firstEventAt = time.Now()
 	}
-	if err := c.write(events); err != nil {
-		return err
-	}
-	c.flush()
-	return nil
+	return c.outbox().push(events)
 }
 
 func (c *call) flush() {
--- a/bhquota/fleet_test.go
+++ b/bhquota/fleet_test.go
@@ -24,7 +24,7 @@
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-var tolerance = Tolerance{Over: 0.1, Slack: 20}
+var tolerance = Tolerance{Over: 0.1, Slack: 20, Window: window}
 
 // window is the length of the windows in which the bound is checked.
 const window = 5 * time.Second
@@ -40,6 +40,8 @@
 	store    *bhstand.Store
 	index    atomic.Pointer[bhpolicy.Index]
 	gateways []*gateway
+	// starts counts the processes, which are different holders.
+	starts atomic.Int64
 
 	mu sync.Mutex
 	// takenAt holds the times at which tokens were taken, by account.
@@ -63,6 +65,7 @@
 	frozenUntil time.Time
 	cutOff      bool
 	dead        bool
+	restUntil   map[netip.AddrPort]time.Time
 }
 
 func newFleet(t *testing.T, store *bhstand.Store, accounts ...bhpolicy.Account) *fleet {
@@ -80,7 +83,7 @@
 	g.limiter = New(Config{
 		Peers:     g,
 		Store:     g,
-		Holder:    fmt.Sprintf("%s.%d", host, len(f.gateways)),
+		Holder:    fmt.Sprintf("%s.%d", host, f.starts.Add(1)),
 		Index:     f.index.Load,
 		Tolerance: func() Tolerance { return tolerance },
 		Clock:     bhclock.NewRuntime(),
@@ -116,19 +119,28 @@
 		peer.mu.Lock()
 		dead := peer.dead
 		peer.mu.Unlock()
+		address := netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1))
 		switch {
 		case peer == g:
 			peers = append(peers, netip.AddrPort{})
-		case !dead || i%2 == 0: // dead gateways at even positions are still listed
-			peers = append(peers, netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(i+1)))
+		case !g.rests(address) && (!dead || i%2 == 0): // dead gateways at even positions are still listed
+			peers = append(peers, address)
 		}
 	}
 	return peers
 }
 
+// Count implements Peers.
+func (g *gateway) Count() int {
+	if time.Now().Before(g.fleet.strangersUntil) {
+		return 1
+	}
+	return len(g.fleet.listGateways())
+}
+
 // Draw implements Peers. Frozen and dead gateways don't answer. A frozen caller
 // gets the answer only after its freeze.
-func (g *gateway) Draw(ctx context.Context, peer netip.AddrPort, account string) (bhwire.Drawn, bool) {
+func (g *gateway) Draw(ctx context.Context, peer netip.AddrPort, draw bhwire.Draw) (bhwire.Drawn, bool) {
 	lender := g.fleet.listGateways()[peer.Port()-1]
 	lender.mu.Lock()
 	silent := lender.dead || time.Now().Before(lender.frozenUntil)
@@ -137,11 +149,11 @@
 	if silent || lost {
 		_ = bhtree.Sleep(ctx, drawTimeout)
 		if !silent {
-			lender.limiter.Lend(account) // the answer was lost
+			lender.limiter.Lend(draw) // the answer was lost
 		}
 		return bhwire.Drawn{}, false
 	}
-	drawn := lender.limiter.Lend(account)
+	drawn := lender.limiter.Lend(draw)
 	time.Sleep(time.Millisecond)
 	if frozen, _ := g.faults(); frozen > 0 {
 		time.Sleep(frozen)
@@ -157,8 +169,22 @@
 	return f.drawCount%50 == 0
 }
 
-// Rest implements Peers and does nothing.
-func (g *gateway) Rest(netip.AddrPort) {}
+// Rest implements Peers. Order leaves the peer out for a second.
+func (g *gateway) Rest(peer netip.AddrPort) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.restUntil == nil {
+		g.restUntil = make(map[netip.AddrPort]time.Time)
+	}
+	g.restUntil[peer] = time.Now().Add(time.Second)
+}
+
+// rests reports whether the peer was given to Rest in the last second.
+func (g *gateway) rests(peer netip.AddrPort) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Now().Before(g.restUntil[peer])
+}
 
 // close stops the gateways and the store.
 func (f *fleet) close() {
--- a/bhwire/peer.go
+++ b/bhwire/peer.go
@@ -16,6 +16,18 @@
 	Version string `json:"version"`
 }
 
+// Caller is what an account has at an engine with one priority.
+type Caller struct {
+	// Short name of the account: a hash.
+	Account uint32 `json:"account"`
+
+	// Live requests that run, wait or were announced.
+	Live int `json:"live"`
+
+	// Priority of the requests; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
 // Cold says that an upstream is cold after its start. As a frame of its own it
 // isn't answered.
 type Cold struct {
@@ -32,19 +44,36 @@
 	Upstream string `json:"upstream"`
 }
 
-// Draw asks another gateway for one token of an account.
+// Draw asks another gateway for tokens of an account.
 type Draw struct {
 	// Name of the account.
 	Account string `json:"account"`
+
+	// Requests that wait for a token; gateways that don't know it ask for one.
+	Count int `json:"count"`
+
+	// Requests that the asker has refused since its last draw.
+	Refused int `json:"refused"`
 }
 
 // Drawn answers a draw.
 type Drawn struct {
-	// Whether the asker may use a token, at once.
+	// Whether the asker may use a token, at once. Gateways that don't know tokens use
+	// one.
 	Granted bool `json:"granted"`
 
+	// Whether the account has used up its tokens at all gateways.
+	Over bool `json:"over"`
+
 	// Whether the gateway reaches the store, and may have a token soon.
 	Reached bool `json:"reached"`
+
+	// Tokens that the asker may use, at once.
+	Tokens int `json:"tokens"`
+
+	// Time until a token accrues for a request that is refused now; 0 if that isn't
+	// known.
+	Wait time.Duration `json:"wait"`
 }
 
 // Find asks another gateway which upstreams began a stream.
@@ -141,16 +170,30 @@
 	Wait time.Duration `json:"wait"`
 }
 
+// Reserve tells a runner whose live request is on its way to the engine. It isn't
+// answered.
+type Reserve struct {
+	// Short name of the account: a hash.
+	Account uint32 `json:"account"`
+
+	// Priority of the request; 0 is the most urgent.
+	Priority int `json:"priority"`
+}
+
 // Room is what an engine has left for live requests, as the runner beside it sees
 // it. It answers an ask frame with the same stream number. A reserve frame
-// announces one live request, and a fault frame reports that one failed at the
-// engine or has no first event in time. Frames about rooms, draws, the origins of
-// streams and crashes travel in datagrams, asks, reserves and faults without a
-// body.
+// announces one live request, with a Reserve as its body or, from older versions,
+// none. A fault frame reports that one failed at the engine or has no first event
+// in time. Frames about rooms, draws, the origins of streams and crashes travel in
+// datagrams, asks and faults without a body.
 type Room struct {
 	// Time since the engine was asked for its load.
 	Age time.Duration `json:"age"`
 
+	// Whose the live requests are, as far as the runner knows; only if no slot is
+	// left for live requests.
+	Callers []Caller `json:"callers,omitempty,omitzero"`
+
 	// Time until the engine is warm after its start; 0 if it is.
 	Cold time.Duration `json:"cold"`
 
@@ -172,6 +215,10 @@
 	// Live requests that run, wait or were announced.
 	Live int `json:"live"`
 
+	// Time since the oldest of the live requests was announced; only if no slot is
+	// left for live requests, and 0 if it isn't known.
+	Oldest time.Duration `json:"oldest"`
+
 	// Requests that the engine runs at once; 0 if the runner doesn't know its engine.
 	Slots int `json:"slots"`
 
