--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -27,10 +27,10 @@
 // resumed stream is never refused for that.
 func (c *call) chooseUpstream(ctx context.Context, service string, excluded map[string]bool, resume bool) (bhwatch.Instance, error) {
 	instances := c.instances(service)
-	c.limitWaits = nil
+	c.limitWait = 0
 	c.observeCold(service, instances, nil)
 	if !c.isEngine(service) {
-		return c.pickOrAwait(ctx, service, instances, excluded, nil)
+		return c.pickAllowed(ctx, service, instances, excluded, nil)
 	}
 	c.choice = engineChoice{}
 	instance, loads, err := c.pickEngine(ctx, service, instances, excluded, resume)
@@ -68,25 +68,16 @@
 		return instance, loads, nil
 	}
 	if len(candidates) > len(sample) {
-		instance, err := c.await(ctx, service, candidates, excluded, loads)
-		return instance, loads, err
+		return bhwatch.Instance{}, loads, c.noneWithinLimit(service)
 	}
 	candidates = c.widen(ctx, service, instances, sample, excluded, loads)
-	instance, err := c.pickOrAwait(ctx, service, candidates, excluded, loads)
+	instance, err := c.pickAllowed(ctx, service, candidates, excluded, loads)
 	return instance, loads, err
 }
 
-// pickOrAwait picks one of the candidates, if need be one whose limit allows the request soon.
-func (c *call) pickOrAwait(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, error) {
-	if instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads); ok {
-		return instance, nil
-	}
-	return c.await(ctx, service, candidates, excluded, loads)
-}
-
-// await picks a candidate whose limit allows the request soon.
-func (c *call) await(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, error) {
-	instance, ok := c.awaitLimit(ctx, service, candidates, excluded, loads)
+// pickAllowed picks one of the candidates whose limit, if it has one, allows the request.
+func (c *call) pickAllowed(ctx context.Context, service string, candidates []bhwatch.Instance, excluded map[string]bool, loads map[netip.AddrPort]bhwire.Room) (bhwatch.Instance, error) {
+	instance, ok := c.pickWithinLimit(ctx, service, candidates, excluded, loads)
 	if !ok {
 		return instance, c.noneWithinLimit(service)
 	}
