Gateways: a body that breaks off is never taken for whole

Cause: io.ReadFull reports a source that ended early and one that broke off by the same error, and the reader of bodies without a length took both for the end. The request was still dropped, since a broken connection cancels its context; now the reader itself tells. Balancer.SampleWith moves beside Sample.

--- a/bhgate/balancer.go
+++ b/bhgate/balancer.go
@@ -89,6 +89,20 @@
 	return sample[:min(count, len(sample))]
 }
 
+// SampleWith draws engineSampleSize usable instances like Sample, of which up to
+// connectedSampleSize are among the connected ones.
+func (b *Balancer) SampleWith(connected, instances []bhwatch.Instance, excluded map[string]bool) []bhwatch.Instance {
+	sample := b.Sample(connected, excluded, connectedSampleSize)
+	others := make(map[string]bool, len(excluded)+len(sample))
+	for id := range excluded {
+		others[id] = excluded[id]
+	}
+	for _, instance := range sample {
+		others[instance.ID] = true
+	}
+	return append(sample, b.Sample(instances, others, engineSampleSize-len(sample))...)
+}
+
 func shuffle(instances []bhwatch.Instance) {
 	rand.Shuffle(len(instances), func(i, j int) { instances[i], instances[j] = instances[j], instances[i] })
 }
--- a/bhgate/connections.go
+++ b/bhgate/connections.go
@@ -93,17 +93,3 @@
 		bhlog.Event(c.gate.config.Logger, "answer.skipped", "request", c.id, "upstream", c.upstream, "answers", answer.Skipped)
 	}
 }
-
-// SampleWith draws engineSampleSize usable instances like Sample, of which up to
-// connectedSampleSize are among the connected ones.
-func (b *Balancer) SampleWith(connected, instances []bhwatch.Instance, excluded map[string]bool) []bhwatch.Instance {
-	sample := b.Sample(connected, excluded, connectedSampleSize)
-	others := make(map[string]bool, len(excluded)+len(sample))
-	for id := range excluded {
-		others[id] = excluded[id]
-	}
-	for _, instance := range sample {
-		others[instance.ID] = true
-	}
-	return append(sample, b.Sample(instances, others, engineSampleSize-len(sample))...)
-}
--- a/bhgate/hold.go
+++ b/bhgate/hold.go
@@ -88,10 +88,10 @@
 			return nil, err
 		}
 		piece := make([]byte, bodyPiece)
-		n, err := io.ReadFull(source, piece)
+		n, err := fill(source, piece)
 		body = append(body, piece[:n]...)
 		switch {
-		case errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF):
+		case err == io.EOF:
 			return body, nil
 		case err != nil:
 			return nil, err
@@ -99,6 +99,19 @@
 	}
 }
 
+// fill reads until the piece is full or the source fails. Unlike io.ReadFull it returns the
+// source's own error, which tells a body that was broken off from a whole one.
+func fill(source io.Reader, piece []byte) (int, error) {
+	n := 0
+	for n < len(piece) {
+		read, err := source.Read(piece[n:])
+		if n += read; err != nil {
+			return n, err
+		}
+	}
+	return n, nil
+}
+
 // holdBody takes the bytes for the request's body from the budget.
 func (c *call) holdBody(bytes int64) error {
 	if c.bodyHolding.Grow(bytes) == bhspool.Granted {
