Review: a request that crashes its worker late is never recognised

Cause: a gateway that gives an attempt up for silence reports nothing when the worker ends afterwards, so the request counts as innocent. Change: case 4, rule BUDGET: a script.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -26,6 +26,7 @@
 type scenario func(f *fleet, trouble bool) (breaches []string, err error)
 
 var scenarios = map[string]scenario{
+	"late-crash":   playLateCrash,
 	"lost-worker":  playLostWorker,
 	"lost-reply":   playLostReply,
 	"nested-route": playNestedRoute,
--- a/review/_stand/record.go
+++ b/review/_stand/record.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"sync"
 	"time"
 )
@@ -32,3 +33,7 @@
 }
 
 func (r *record) close() { _ = r.file.Close() }
+
+func sortTimes(times []time.Time) {
+	slices.SortFunc(times, func(a, b time.Time) int { return a.Compare(b) })
+}
