--- a/deploy/regressions.sh
+++ b/deploy/regressions.sh
@@ -26,6 +26,10 @@
   tail -n 3 "$output/$verb-$name.txt"
 }
 
-play fjordkapp-kutt 40 further/fjordkapp-kutt.toml
-play fjordkapp-kutt-grown 8 further-grown/fjordkapp-kutt-grown.toml
+play linrota 40 sites/linrota.toml
+play hinokuni-haven 40 sites/hinokuni-haven.toml
+play linrota-grown 8 grown/linrota-grown.toml
+play hinokuni-haven-grown 8 grown/hinokuni-haven-grown.toml
+play furrowline-grown 8 demands/furrowline-grown.toml
+play naik-haven-grown 8 demands/naik-haven-grown.toml
 play linrota-large 8 large/linrota-large.toml
