Gateway: a stream goes on only with an answer that is one

Callers of a stream that broke off and was resumed read the events of an answer that was declared as JSON or HTML in the middle of it, or the regular end of a stream that wasn't complete.

Cause: the first attempt judged the declared type, the resumption the status only. Class: one judgement made at several places by different checks. bhevent.CheckHead now judges status, type and encoding of an answer's head, and bhevent.KindOf its type for first attempts too. An encoded answer is relayed as it is; its bytes were read as events and broken off.

With an attempt left the stream goes on at the next upstream, otherwise it breaks visibly. Undeclared streams and empty rests stay accepted: TestEmptyRestOfAStreamIsCompleteInItsFraming.

--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -6,13 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhadmit"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhevent"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -214,7 +214,7 @@
 		c.gate.config.Balancer.Answered(instance.ID)
 	}
 	switch {
-	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming && isEventStream(answer.Header):
+	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming && bhevent.KindOf(answer.Header) != bhevent.Other:
 		return false, c.relayStream(ctx, current)
 	case answer.Status >= 500 && c.route.Repeatable() && c.sends < c.route.MaxAttempts:
 		return true, bhcode.New(bhcode.UpstreamFailed, "upstream %s answered %d", instance.ID, answer.Status).WithRan(bhcode.RanYes)
@@ -311,18 +311,6 @@
 	return bhadmit.RetryAfter(time.Until(c.deadline), 0)
 }
 
-// isEventStream reports whether the answer with the header is a stream of events.
-// Upstreams don't always declare one, and HTTP servers that guess the type take it for
-// plain text, so only an answer that is declared as data of another kind isn't.
-func isEventStream(header http.Header) bool {
-	kind, _, _ := strings.Cut(header.Get("Content-Type"), ";")
-	switch strings.ToLower(strings.TrimSpace(kind)) {
-	case "", "text/event-stream", "text/plain":
-		return true
-	}
-	return false
-}
-
 // meansNotRun reports whether the status tells a client that its request did not
 // run.
 func meansNotRun(status int) bool {
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -70,8 +70,8 @@
 		return true, err
 	}
 	defer resumed.close()
-	if resumed.answer.Status != http.StatusOK {
-		return true, bhcode.New(bhcode.UpstreamFailed, "upstream %s answered %d", instance.ID, resumed.answer.Status).WithRan(bhcode.RanYes)
+	if err := bhevent.CheckHead(resumed.answer.Status, resumed.answer.Header); err != nil {
+		return true, bhcode.Wrap(err, bhcode.UpstreamFailed, "answer of upstream "+instance.ID).WithRan(bhcode.RanYes)
 	}
 	progress.Resume()
 	err = c.relayEvents(resumed, progress)
--- /dev/null
+++ b/bhgate/stream_error_test.go
@@ -0,0 +1,87 @@
+package bhgate
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+)
+
+// errorAnswers are answers of upstreams, by their status and header lines and their body, that
+// are no rest of a stream.
+var errorAnswers = []struct{ head, body string }{
+	{"500 Internal Server Error", "out of memory\n\n"},
+	{"404 Not Found", "id: 8\ndata: no route\n\n"},
+	{"302 Found\r\nLocation: /elsewhere", ""},
+	{"204 No Content", ""},
+	{"206 Partial Content", "id: 8\ndata: 8\n\n"},
+	{"200 OK\r\nContent-Type: application/json", `{"error": "out of memory"}` + "\n\n"},
+	{"200 OK\r\nContent-Type: application/json", ""},
+	{"200 OK\r\nContent-Type: text/html", "id: 8\ndata: <h1>out of memory</h1>\n\n"},
+	{"200 OK\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip", ""},
+}
+
+// resumedAfter returns what a caller reads of a stream of 20 events that breaks off after 7, if the
+// next attempts are answered as given and the others soundly.
+func resumedAfter(t *testing.T, attempts int, answers ...func(http.ResponseWriter, *http.Request, int)) (string, error) {
+	var turns atomic.Int64
+	next := func(w http.ResponseWriter, r *http.Request, number int) {
+		if turn := int(turns.Add(1)); turn <= len(answers) {
+			answers[turn-1](w, r, number)
+			return
+		}
+		streamEvents(20, 0)(w, r, number)
+	}
+	upstreams := []*fakeUpstream{newUpstream(t, streamEvents(20, 7))}
+	for range attempts - 1 {
+		upstreams = append(upstreams, newUpstream(t, next))
+	}
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: attempts}, upstreams...)
+	_, body, err := g.do(g.request("/a/x"))
+	assert.Equal(t, int64(attempts-1), turns.Load(), "attempts after the first")
+	return body, err
+}
+
+// Guards against a stream that broke off and was joined with the answer of the next upstream,
+// which was an error: its text reached the caller, or its end as that of the stream.
+func TestErrorOfTheNextUpstreamIsNotJoinedToTheStream(t *testing.T) {
+	for _, answer := range errorAnswers {
+		for _, framing := range framings {
+			t.Run(fmt.Sprintf("%q/%s", answer, framing), func(t *testing.T) {
+				body, err := resumedAfter(t, 2, framedAnswer(framing, answer.head, answer.body))
+				require.Error(t, err, "the stream must break visibly")
+				assert.Equal(t, wholeStream(7), body)
+				body, err = resumedAfter(t, 3, framedAnswer(framing, answer.head, answer.body))
+				require.NoError(t, err)
+				assert.Equal(t, wholeStream(20), body)
+			})
+		}
+	}
+}
+
+// A run that has nothing left to send, because the stream broke off after its last event, may be
+// empty; the end of a connection doesn't show that.
+func TestEmptyRestOfAStreamIsCompleteInItsFraming(t *testing.T) {
+	for _, head := range []string{"200 OK", "200 OK\r\nContent-Type: text/event-stream"} {
+		for _, framing := range framings {
+			body, err := resumedAfter(t, 2, framedAnswer(framing, head, ""))
+			assert.Equal(t, framing != bhforward.FramedByClose, err == nil, "%q by %s: %v", head, framing, err)
+			assert.Equal(t, wholeStream(7), body)
+		}
+	}
+}
+
+// Guards against an encoded answer whose bytes were read as events and that was broken off.
+func TestEncodedAnswerIsRelayedOnStreamingRoute(t *testing.T) {
+	u := newUpstream(t, framedAnswer(bhforward.FramedByChunks, "200 OK\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip", "\x1f\x8b\n\n\x08"))
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, u)
+	_, body, err := g.do(g.request("/a/x", func(r *http.Request) { r.Header.Set("Accept-Encoding", "gzip") }))
+	require.NoError(t, err)
+	assert.Equal(t, "\x1f\x8b\n\n\x08", body)
+}
