Runner: an item's output comes from an answer that is a stream

An item was listed as completed with no output, with a part of it or with an error as its output, after its engine had answered 200 with JSON, a page of HTML or an encoded body (MIXED).

Cause: the runner judged the status of an answer only; the class is that of the gateway's resumption. It now uses bhevent.CheckHead too. Such an answer counts as an interruption: the item runs again, and no attempt is used up.

--- a/bhjob/framing_test.go
+++ b/bhjob/framing_test.go
@@ -14,15 +14,15 @@
 	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
-// writeFramed answers with the body, complete in the framing, and closes the
+// writeFramed answers with the header lines and the body, complete in the framing, and closes the
 // connection in an orderly way.
-func writeFramed(w http.ResponseWriter, r *http.Request, framing bhforward.Framing, body string) {
+func writeFramed(w http.ResponseWriter, r *http.Request, framing bhforward.Framing, lines, body string) {
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(err)
 	}
 	defer conn.Close()
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n", dialect.RequestID, r.Header.Get(dialect.RequestID))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s%s: %s\r\n", lines, dialect.RequestID, r.Header.Get(dialect.RequestID))
 	switch framing {
 	case bhforward.FramedByLength:
 		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
@@ -42,7 +42,7 @@
 			r := newRunnerFixture(t, store, "a")
 			r.engine.set(func(e *fakeEngine) {
 				e.next = func(w http.ResponseWriter, r *http.Request) {
-					writeFramed(w, r, framing, "id: 1\ndata: j-0-1\n\nid: 2\ndata: j-0-2\n\nid: 3\ndata: j-")
+					writeFramed(w, r, framing, "", "id: 1\ndata: j-0-1\n\nid: 2\ndata: j-0-2\n\nid: 3\ndata: j-")
 				}
 			})
 			require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -365,8 +365,9 @@
 		return errRejected
 	case answer.Status == http.StatusInternalServerError:
 		return errFailed
-	case answer.Status != http.StatusOK:
-		return errors.Errorf("the engine answered with status %d", answer.Status)
+	}
+	if err := bhevent.CheckHead(answer.Status, answer.Header); err != nil {
+		return errors.WithMessage(err, "the engine's answer")
 	}
 	return ir.receiveEvents(answer, stall)
 }
