Gateway: a client's stream is taken up only with an answer that is one

A client that took its stream up after a break got 200 with JSON, HTML or an encoded body of the engine as the rest of its stream, and that answer's end as the stream's.

Cause: a take-up was judged as a first attempt, of which any answer is relayed. What a client adds to a stream is now judged as what the gateway adds itself, by attempt.checkRest. Answers whose status tells the client that its stream doesn't go on are relayed as before.

Evidence: TestErrorIsNoRestOfAStreamThatIsTakenUp failed in all of its cases before: 200 and the engine's body. Now the next upstream is tried, and without an attempt left the client gets 502.

--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -57,6 +57,14 @@
 	a.cancel()
 }
 
+// checkRest returns an error if the answer can't bring the rest of a stream.
+func (a *attempt) checkRest() error {
+	if err := bhevent.CheckHead(a.answer.Status, a.answer.Header); err != nil {
+		return bhcode.Wrap(err, bhcode.UpstreamFailed, "answer of upstream "+a.instance.ID).WithRan(bhcode.RanYes)
+	}
+	return nil
+}
+
 // forward sends the request to one upstream after another until an answer is
 // final or no attempt is left.
 func (c *call) forward(ctx context.Context) error {
@@ -213,6 +221,11 @@
 	} else {
 		c.gate.config.Balancer.Answered(instance.ID)
 	}
+	if c.takesUp() && answer.Status == http.StatusOK {
+		if err := current.checkRest(); err != nil {
+			return c.retryable(err), err
+		}
+	}
 	switch {
 	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming && bhevent.KindOf(answer.Header) != bhevent.Other:
 		return false, c.relayStream(ctx, current)
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -70,8 +70,8 @@
 		return true, err
 	}
 	defer resumed.close()
-	if err := bhevent.CheckHead(resumed.answer.Status, resumed.answer.Header); err != nil {
-		return true, bhcode.Wrap(err, bhcode.UpstreamFailed, "answer of upstream "+instance.ID).WithRan(bhcode.RanYes)
+	if err := resumed.checkRest(); err != nil {
+		return true, err
 	}
 	progress.Resume()
 	err = c.relayEvents(resumed, progress)
--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -85,3 +86,29 @@
 	require.NoError(t, err)
 	assert.Equal(t, "\x1f\x8b\n\n\x08", body)
 }
+
+// Guards against an error that a client gets for the rest of its stream, as a success, when it
+// takes the stream up.
+func TestErrorIsNoRestOfAStreamThatIsTakenUp(t *testing.T) {
+	for _, answer := range errorAnswers {
+		if !strings.HasPrefix(answer.head, "200 ") {
+			continue // the status tells the client
+		}
+		for _, framing := range framings {
+			for _, attempts := range []int{1, 2} {
+				failing, sound := newUpstream(t, framedAnswer(framing, answer.head, answer.body)), newUpstream(t, streamEvents(20, 0))
+				route := resumableRoute
+				route.MaxAttempts = attempts
+				g := newTestGate(t, route, failing, sound)
+				g.setVersions("v1", "v1")
+				response, body, err := g.do(g.request("/a/x", takeUp("r1", "7")))
+				require.NoError(t, err, "%q", answer)
+				if attempts == 1 {
+					assert.Equal(t, http.StatusBadGateway, response.StatusCode, "%q", answer)
+					continue
+				}
+				assert.Equal(t, wholeStream(20)[len(wholeStream(7)):], body, "%q", answer)
+			}
+		}
+	}
+}
