Events: what is no event isn't passed on as one

Callers read an error's text, its whole head included, between the events of their streams, and items were listed with it: an upstream wrote it into its body, or answered a resumption with it and declared nothing.

Cause: whatever stood before a blank line was taken for events. bhevent.Reader now passes on fields of events, comments, and other fields beside them, such as the version that engines put first; what follows is a break. A status line that was appended to a field shows by the fields that follow it.

--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -44,6 +44,40 @@
 	assert.Equal(t, "3", progress.Last)
 }
 
+// Guards against bytes that are no event and that a caller reads between the events of its stream.
+func TestReaderRefusesWhatIsNoEvent(t *testing.T) {
+	const before = "id: 1\ndata: a\n\n"
+	for text, sound := range map[string]bool{
+		"id: 2\ndata: b\n\n":                                 true,
+		"id: 2\r\ndata: b\r\n\r\n":                           true,
+		"\n\n\r\n\r\nid: 2\ndata\n\n":                        true,
+		"x-weight-versions: 3\nid: 2\ndata: b\n\n":           true,
+		": still there\n\nevent: ping\n\nretry: 5\n\n":       true,
+		"\ufeffid: 2\ndata: b\n\n":                           true,
+		"data: HTTP/1.1 500 is a status line\nid: 2\n\n":     true,
+		"out of memory\n\n":                                  false,
+		"overloaded\n\n":                                     false,
+		`{"error": "out of memory"}` + "\n\n":                false,
+		"<html>\n\n":                                         false,
+		"HTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n": false,
+		"Content-Type: text/plain\r\n\r\n":                   false,
+		"id: 2\nout of memory\n\n":                           false,
+		"id: 2\ndata: bHTTP/1.1 500 Error\r\nA: b\r\n\r\n":   false,
+	} {
+		progress := &Progress{}
+		source := &chunkReader{parts: []string{before + text + "id: 3\ndata: c\n\n"}, err: io.EOF}
+		got, err := readEvents(NewReader(ReaderConfig{Source: source, Progress: progress}))
+		if sound {
+			require.ErrorIs(t, err, io.EOF, "%q", text)
+			assert.Equal(t, before+text+"id: 3\ndata: c\n\n", got)
+			continue
+		}
+		require.NotErrorIs(t, err, io.EOF, "%q", text)
+		assert.Equal(t, before, got, "%q: the events before it are sound", text)
+		assert.Equal(t, "1", progress.Last, "%q", text)
+	}
+}
+
 // chunkReader returns one of its parts at each read, then its error.
 type chunkReader struct {
 	parts []string
@@ -156,3 +190,16 @@
 		assert.LessOrEqual(t, before, cut)
 	})
 }
+
+func FuzzSoundLength(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\n")
+	f.Add("\ufeffid: 1\r\n\r\nout of memory\n\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		data := []byte(text)[:CompleteLength([]byte(text))]
+		length, err := soundLength(data)
+		assert.Equal(t, err == nil, length == len(data))
+		again, err := soundLength(data[:length])
+		require.NoError(t, err)
+		assert.Equal(t, length, again)
+	})
+}
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -50,18 +50,22 @@
 //
 // At the end of the stream, it returns the last events with io.EOF. A stream that
 // ends inside an event has broken off, whatever its source says: the incomplete
-// event is dropped and the error is io.ErrUnexpectedEOF. Next also fails if an event is
-// too large, or if a resumed stream doesn't continue after the last event (see
-// Progress). Any error ends the stream.
+// event is dropped and the error is io.ErrUnexpectedEOF. Next also fails after the events
+// before bytes that are no event, if an event is too large, or if a resumed stream doesn't
+// continue after the last event (see Progress). Any error ends the stream.
 func (r *Reader) Next() ([]byte, error) {
 	r.pending = append(r.pending[:0], r.pending[r.returned:]...)
 	n, err := r.config.Source.Read(r.buffer)
 	r.pending = append(r.pending, r.buffer[:n]...)
 	r.returned = CompleteLength(r.pending)
-	events := r.pending[:r.returned]
+	sound, soundErr := soundLength(r.pending[:r.returned])
+	events := r.pending[:sound]
 	if progressErr := r.config.Progress.Advance(events); progressErr != nil {
 		return nil, progressErr
 	}
+	if soundErr != nil {
+		return events, soundErr
+	}
 	r.received = r.received || len(events) > 0
 	if partial := len(r.pending) - r.returned; partial > maxEventBytes {
 		return events, errors.Errorf("an event has more than %d bytes", maxEventBytes)
--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -14,6 +15,9 @@
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 )
 
+// errorHead is the head of an upstream's answer.
+const errorHead = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 15"
+
 // errorAnswers are answers of upstreams, by their status and header lines and their body, that
 // are no rest of a stream.
 var errorAnswers = []struct{ head, body string }{
@@ -28,6 +32,13 @@
 	{"200 OK\r\nContent-Type: text/event-stream\r\nContent-Encoding: gzip", ""},
 }
 
+// errorBodies are errors that their heads don't tell.
+var errorBodies = []struct{ head, body string }{
+	{"200 OK", `{"error": "out of memory"}` + "\n\n"},
+	{"200 OK\r\nContent-Type: text/plain", "out of memory\n\n"},
+	{"200 OK\r\nContent-Type: text/event-stream", errorHead + "\r\n\r\n"},
+}
+
 // resumedAfter returns what a caller reads of a stream of 20 events that breaks off after 7, if the
 // next attempts are answered as given and the others soundly.
 func resumedAfter(t *testing.T, attempts int, answers ...func(http.ResponseWriter, *http.Request, int)) (string, error) {
@@ -52,7 +63,7 @@
 // Guards against a stream that broke off and was joined with the answer of the next upstream,
 // which was an error: its text reached the caller, or its end as that of the stream.
 func TestErrorOfTheNextUpstreamIsNotJoinedToTheStream(t *testing.T) {
-	for _, answer := range errorAnswers {
+	for _, answer := range slices.Concat(errorAnswers, errorBodies) {
 		for _, framing := range framings {
 			t.Run(fmt.Sprintf("%q/%s", answer, framing), func(t *testing.T) {
 				body, err := resumedAfter(t, 2, framedAnswer(framing, answer.head, answer.body))
@@ -90,7 +101,7 @@
 // Guards against an error that a client gets for the rest of its stream, as a success, when it
 // takes the stream up.
 func TestErrorIsNoRestOfAStreamThatIsTakenUp(t *testing.T) {
-	for _, answer := range errorAnswers {
+	for _, answer := range slices.Concat(errorAnswers, errorBodies) {
 		if !strings.HasPrefix(answer.head, "200 ") {
 			continue // the status tells the client
 		}
@@ -102,6 +113,11 @@
 				g := newTestGate(t, route, failing, sound)
 				g.setVersions("v1", "v1")
 				response, body, err := g.do(g.request("/a/x", takeUp("r1", "7")))
+				if attempts == 1 && slices.Contains(errorBodies, answer) {
+					require.Error(t, err, "%q", answer)
+					assert.Empty(t, body, "%q", answer)
+					continue
+				}
 				require.NoError(t, err, "%q", answer)
 				if attempts == 1 {
 					assert.Equal(t, http.StatusBadGateway, response.StatusCode, "%q", answer)
@@ -112,3 +128,26 @@
 		}
 	}
 }
+
+// Guards against the head and the text of an error that an upstream writes into the body of its
+// stream, or after a body that ends with its connection.
+func TestErrorWithinAStreamIsNotRelayed(t *testing.T) {
+	for _, part := range []string{"", "id: 8\n", "id: 8\nda", "id: 8\ndata: 8", "id: 8\ndata: 8\n"} {
+		for _, failure := range []string{errorHead + "\r\n\r\nout of memory\r\n", `{"error": "out of memory"}` + "\n\n", "out of memory\n\n"} {
+			if part == "id: 8\ndata: 8" && failure[0] != 'H' {
+				continue // text that is appended to data can't be told from it
+			}
+			for _, framing := range framings {
+				failing := newUpstream(t, framedAnswer(framing, "200 OK", wholeStream(7)+part+failure))
+				g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming}, failing)
+				_, body, err := g.do(g.request("/a/x"))
+				require.Error(t, err, "%q%q: the stream must break visibly", part, failure)
+				assert.Equal(t, wholeStream(7), body)
+				g = newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, failing, newUpstream(t, streamEvents(20, 0)))
+				_, body, err = g.do(g.request("/a/x"))
+				require.NoError(t, err)
+				assert.Equal(t, wholeStream(20), body)
+			}
+		}
+	}
+}
--- a/bhjob/stream_error_test.go
+++ b/bhjob/stream_error_test.go
@@ -18,6 +18,8 @@
 	{"Content-Type: application/json", `{"error": "out of memory"}` + "\n\n"},
 	{"Content-Type: text/html", "id: 1\ndata: <h1>out of memory</h1>\n\n"},
 	{"Content-Type: text/event-stream\r\nContent-Encoding: gzip", ""},
+	{"Content-Type: text/plain", "out of memory\n\n"},
+	{"Content-Type: text/event-stream", "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n"},
 }
 
 // Guards against an item that was listed as completed with an error as its output, as a part of
