Events: one without an ID has no place in the rest of a stream

Callers of a resumed stream read the event of an error, such as data: {"error": ...}, in the middle of it, or as its end; after a break behind events without IDs they read these twice.

Cause: only events with IDs were judged, though those without can't be told from ones that the caller has. After a resumption the first data must have the ID that follows; a stream whose last event has none isn't resumed and breaks visibly. Comments may stand anywhere.

--- a/bhevent/event.go
+++ b/bhevent/event.go
@@ -69,25 +69,38 @@
 	// Last is the ID of the last complete event that was passed on, or empty if
 	// there is none.
 	Last string
-	// resumed reports that the next event with an ID must follow Last.
+	// resumed reports that the next event must have an ID that follows Last.
 	resumed bool
+	// unplaced reports that an event without an ID has followed Last.
+	unplaced bool
 }
 
 // Resume records that the stream was resumed: the next event comes from another
 // response and must follow the last one.
 func (p *Progress) Resume() { p.resumed = true }
 
+// Resumable reports whether the events that were passed on end with one whose ID tells
+// another upstream where to go on.
+func (p *Progress) Resumable() bool { return p.Last != "" && !p.unplaced }
+
 // Advance records the IDs of the complete events. After Resume, it returns an
-// error if the first event with an ID doesn't follow the last one.
+// error if the first event has no ID or doesn't follow the last one.
 func (p *Progress) Advance(events []byte) error {
 	for _, event := range Parse(events) {
-		if event.ID == "" {
+		switch {
+		case event.ID != "":
+		case len(event.Data) == 0: // a comment
+			continue
+		case p.resumed:
+			return errors.Errorf("an event without an ID follows %q", p.Last)
+		default:
+			p.unplaced = true
 			continue
 		}
 		if p.resumed && !follows(p.Last, event.ID) {
 			return errors.Errorf("event %q does not follow %q", event.ID, p.Last)
 		}
-		p.resumed = false
+		p.resumed, p.unplaced = false, false
 		p.Last = event.ID
 	}
 	return nil
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -28,7 +28,7 @@
 	}
 	excluded := map[string]bool{first.instance.ID: true}
 	first.close()
-	for c.route.Resumable && progress.Last != "" && c.sends < c.route.MaxAttempts && ctx.Err() == nil {
+	for c.route.Resumable && progress.Resumable() && c.sends < c.route.MaxAttempts && ctx.Err() == nil {
 		bhlog.Problem(c.gate.config.Logger, "stream.resume", err, "request", c.id, "after", progress.Last, "sends", c.sends)
 		var retry bool
 		if retry, err = c.resume(ctx, progress, excluded); !retry {
--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -37,6 +37,8 @@
 	{"200 OK", `{"error": "out of memory"}` + "\n\n"},
 	{"200 OK\r\nContent-Type: text/plain", "out of memory\n\n"},
 	{"200 OK\r\nContent-Type: text/event-stream", errorHead + "\r\n\r\n"},
+	{"200 OK", `data: {"error": "out of memory"}` + "\n\n"},
+	{"200 OK", ": busy\n\nevent: error\ndata: out of memory\n\nid: 8\ndata: 8\n\n"},
 }
 
 // resumedAfter returns what a caller reads of a stream of 20 events that breaks off after 7, if the
@@ -82,9 +84,11 @@
 func TestEmptyRestOfAStreamIsCompleteInItsFraming(t *testing.T) {
 	for _, head := range []string{"200 OK", "200 OK\r\nContent-Type: text/event-stream"} {
 		for _, framing := range framings {
-			body, err := resumedAfter(t, 2, framedAnswer(framing, head, ""))
-			assert.Equal(t, framing != bhforward.FramedByClose, err == nil, "%q by %s: %v", head, framing, err)
-			assert.Equal(t, wholeStream(7), body)
+			for _, rest := range []string{""} {
+				body, err := resumedAfter(t, 2, framedAnswer(framing, head, rest))
+				assert.Equal(t, framing != bhforward.FramedByClose, err == nil, "%q by %s: %v", head+rest, framing, err)
+				assert.Equal(t, wholeStream(7)+rest, body)
+			}
 		}
 	}
 }
@@ -151,3 +155,16 @@
 		}
 	}
 }
+
+// Guards against events without IDs that a caller reads twice: what was passed on of them can't be
+// named to the next upstream.
+func TestStreamIsNotResumedAfterAnEventWithoutID(t *testing.T) {
+	for _, rest := range []string{"data: a\n\n", "id: 1\ndata: 1\n\ndata: a\n\n"} {
+		failing, next := newUpstream(t, framedAnswer(bhforward.FramedByChunks, "200 OK", rest+"id")), newUpstream(t, streamEvents(20, 0))
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, failing, next)
+		_, body, err := g.do(g.request("/a/x"))
+		require.Error(t, err)
+		assert.Equal(t, rest, body)
+		assert.Zero(t, next.count())
+	}
+}
