Events: comments don't show that a stream is whole

A stream that ends with its connection must have an event, since an orderly close shows nothing. Comments counted as such: an upstream that sent one while it was busy and then went away ended its caller's stream, or the rest of it, as complete.

Evidence: TestReaderOfUnframedStreamNeedsAnEvent and TestEmptyRestOfAStreamIsCompleteInItsFraming, with comments now, fail without the change.

--- a/bhevent/event.go
+++ b/bhevent/event.go
@@ -33,6 +33,9 @@
 	Data []string
 }
 
+// IsComment reports whether the event holds nothing for a caller.
+func (e Event) IsComment() bool { return e.ID == "" && len(e.Data) == 0 }
+
 // Parse returns the events in data. The blank line after the last one may be
 // missing.
 func Parse(data []byte) []Event {
@@ -89,7 +92,7 @@
 	for _, event := range Parse(events) {
 		switch {
 		case event.ID != "":
-		case len(event.Data) == 0: // a comment
+		case event.IsComment():
 			continue
 		case p.resumed:
 			return errors.Errorf("an event without an ID follows %q", p.Last)
--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -120,8 +120,10 @@
 // The end of a connection proves nothing about a stream without any event.
 func TestReaderOfUnframedStreamNeedsAnEvent(t *testing.T) {
 	for unframed, want := range map[bool]error{false: io.EOF, true: io.ErrUnexpectedEOF} {
-		_, err := readEvents(NewReader(ReaderConfig{Source: &chunkReader{err: io.EOF}, Progress: &Progress{}, EndsWithConnection: unframed}))
-		require.ErrorIs(t, err, want)
+		for _, parts := range [][]string{nil, {": still there\n\n"}} {
+			_, err := readEvents(NewReader(ReaderConfig{Source: &chunkReader{parts: parts, err: io.EOF}, Progress: &Progress{}, EndsWithConnection: unframed}))
+			require.ErrorIs(t, err, want)
+		}
 	}
 }
 
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -36,7 +37,8 @@
 	// returned is the length of the events at the start of pending that the last
 	// Next returned.
 	returned int
-	// received reports whether any event was returned.
+	// received reports whether an event that is no comment was returned. It is kept only for
+	// streams that end with their connection.
 	received bool
 }
 
@@ -66,7 +68,9 @@
 	if soundErr != nil {
 		return events, soundErr
 	}
-	r.received = r.received || len(events) > 0
+	if r.config.EndsWithConnection && !r.received {
+		r.received = slices.ContainsFunc(Parse(events), func(event Event) bool { return !event.IsComment() })
+	}
 	if partial := len(r.pending) - r.returned; partial > maxEventBytes {
 		return events, errors.Errorf("an event has more than %d bytes", maxEventBytes)
 	}
--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -84,7 +84,7 @@
 func TestEmptyRestOfAStreamIsCompleteInItsFraming(t *testing.T) {
 	for _, head := range []string{"200 OK", "200 OK\r\nContent-Type: text/event-stream"} {
 		for _, framing := range framings {
-			for _, rest := range []string{""} {
+			for _, rest := range []string{"", ": still there\n\n"} {
 				body, err := resumedAfter(t, 2, framedAnswer(framing, head, rest))
 				assert.Equal(t, framing != bhforward.FramedByClose, err == nil, "%q by %s: %v", head+rest, framing, err)
 				assert.Equal(t, wholeStream(7)+rest, body)
