--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -20,22 +19,11 @@
 )
 
 const (
-	// refusedRetryDelay is the minimum pause after the engine refused an item,
-	// and interruptedRetryDelay after a request was interrupted.
-	refusedRetryDelay     = 200 * time.Millisecond
-	interruptedRetryDelay = 400 * time.Millisecond
-	// maxInterruptions is the number of interrupted requests after which the
-	// claim is released, so that another engine can try the item.
-	maxInterruptions = 3
 	// stallTimeout is the time without data after which a request is cancelled.
 	stallTimeout = 2500 * time.Millisecond
 	// maxOutputBytes bounds the output of an item, which is kept in memory. Outputs
 	// have some kilobytes; an engine in trouble may send events without end.
 	maxOutputBytes = 4 << 20
-	// storeRetryMin is the first delay between attempts to record a result or
-	// to release a claim while the store fails. It doubles up to storeRetryMax.
-	storeRetryMin = 250 * time.Millisecond
-	storeRetryMax = time.Second
 
 	// routeGoneAfter is how much newer than the claim the policy must be before
 	// a missing route counts as removed. The gateway that accepted the job may
@@ -186,107 +174,6 @@
 
 func (ir *itemRun) remove() { delete(ir.runner.runs, ir.ref()) }
 
-// handleOutcome decides what follows a request that ended with err, or with nil
-// after the complete output.
-func (ir *itemRun) handleOutcome(ctx context.Context, err error) {
-	var limited *limitedError
-	switch {
-	case ir.onStopped != nil && err != nil:
-		ir.phase = paused
-		ir.onStopped()
-	case err == nil:
-		if !ir.resumed {
-			ir.runner.runTimes.observe(ir.item.Tokens, ir.events, ir.runTime)
-		}
-		ir.recordResult(Result{ID: ir.item.ID, Status: Completed, Text: ir.output()}, "completed")
-	case ctx.Err() != nil:
-		ir.pauseFor(0)
-	case errors.Is(err, errRejected), errors.Is(err, errNoRoute), bhcode.Is(err, bhcode.BadRequest):
-		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, err.Error())
-	case errors.Is(err, errFailed):
-		ir.countFailure()
-	case errors.Is(err, errRefused), errors.Is(err, errSuspectRuns), errors.Is(err, errRouteUnknown):
-		ir.waitFor(refusedRetryDelay)
-	case errors.As(err, &limited):
-		ir.waitFor(limited.wait)
-	case errors.Is(err, errNotServed):
-		bhlog.Event(ir.runner.config.Logger, "item.released", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent, "reason", err)
-		ir.releaseClaim(false)
-	case bhcode.Is(err, bhcode.Withheld):
-		ir.holdBack(err)
-	default:
-		ir.interruptions++
-		bhlog.Problem(ir.runner.config.Logger, "item.broken", err, "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent, "breaks", ir.interruptions)
-		if ir.interruptions >= maxInterruptions {
-			ir.releaseClaim(false)
-			return
-		}
-		ir.pauseFor(interruptedRetryDelay)
-	}
-}
-
-// pauseFor pauses the run for at least the delay.
-func (ir *itemRun) pauseFor(delay time.Duration) {
-	ir.pausedAt = time.Now()
-	ir.waitFor(delay)
-}
-
-// waitFor is pauseFor after a request that the engine didn't take: the pause before it goes
-// on, so that the run is released in time to engines that do.
-func (ir *itemRun) waitFor(delay time.Duration) {
-	ir.phase = paused
-	ir.notBefore = time.Now().Add(delay)
-}
-
-// countFailure releases the claim and counts a failure, or records the item as
-// dead if no attempt is left.
-func (ir *itemRun) countFailure() {
-	failures := 1
-	if state := ir.job.item(ir.item.ID); state != nil {
-		failures += state.Failures
-	}
-	bhlog.Event(ir.runner.config.Logger, "item.failed", "item", ir.item.ID, "job", ir.job.ID, "failures", failures, "attempts", ir.job.Attempts)
-	if failures >= ir.job.Attempts {
-		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, fmt.Sprintf("failed %d times", failures))
-		return
-	}
-	ir.releaseClaim(true)
-}
-
-// recordResult records the result, and retries while the store fails.
-func (ir *itemRun) recordResult(result Result, reason string) {
-	ir.finish(func(ctx context.Context) error {
-		for pause := storeRetryMin; ; pause = min(2*pause, storeRetryMax) {
-			recorded, err := ir.runner.config.Jobs.RecordResult(ctx, ir.runner.newestRecord(ctx, ir.job), ir.runner.config.Holder, result)
-			if err == nil {
-				ir.runner.metrics.countResult(result.Status)
-				bhlog.Event(ir.runner.config.Logger, "item.ended", "item", ir.item.ID, "job", ir.job.ID, "status", result.Status, "reason", reason, "listed", recorded)
-				return nil
-			}
-			if bhcode.Is(err, bhcode.NotFound) {
-				return err
-			}
-			bhlog.Problem(ir.runner.config.Logger, "item.unlisted", err, "item", ir.item.ID, "job", ir.job.ID, "pause", pause)
-			time.Sleep(pause)
-		}
-	})
-}
-
-// finish executes the last step of the run in a goroutine and then removes the
-// run. If the step fails, the next read of the jobs finds a claim without a
-// run, which can be claimed again.
-func (ir *itemRun) finish(step bhtree.Run) {
-	ir.phase = ending
-	ir.runner.tasks.Go(func() {
-		if err := bhtree.Guard(context.Background(), step); err != nil {
-			bhlog.Problem(ir.runner.config.Logger, "item.unended", err, "item", ir.item.ID, "job", ir.job.ID)
-		}
-		ir.runner.mu.Lock()
-		defer ir.runner.mu.Unlock()
-		ir.remove()
-	})
-}
-
 // currentCheckpoint returns the checkpoint of the output so far.
 func (ir *itemRun) currentCheckpoint() Checkpoint {
 	checkpoint := ir.checkpoint
@@ -303,33 +190,6 @@
 	return strings.Join(ir.text, "\n")
 }
 
-// releaseClaim releases the claim and removes the run. It counts a failure if
-// failed is true, and stores a checkpoint otherwise.
-func (ir *itemRun) releaseClaim(failed bool) {
-	release := ItemRelease{ID: ir.item.ID, Failed: failed}
-	if !failed {
-		release.Checkpoint = ir.currentCheckpoint()
-	}
-	ir.finish(func(context.Context) error { return ir.runner.releaseClaim(ir.job, release) })
-}
-
-// releaseClaim releases a claim in the job's record, with retries. A claim that
-// can't be released is taken over once this runner's heartbeats stop, or found
-// as a claim without a run by the next read of the jobs.
-func (r *Runner) releaseClaim(job *Job, release ItemRelease) error {
-	var lastErr error
-	pause := storeRetryMin
-	for range changeAttempts {
-		if lastErr = r.config.Jobs.Release(context.Background(), r.newestRecord(context.Background(), job), r.config.Holder, []ItemRelease{release}); lastErr == nil {
-			return nil
-		}
-		bhlog.Problem(r.config.Logger, "item.unreleased", lastErr, "item", release.ID, "job", job.ID, "pause", pause)
-		time.Sleep(pause)
-		pause = min(2*pause, storeRetryMax)
-	}
-	return errors.Wrapf(lastErr, "releasing the claim failed %d times", changeAttempts)
-}
-
 // send makes one request for the item to the engine and receives its events. A nil
 // error means that the output is complete.
 func (ir *itemRun) send(ctx context.Context, instance bhwatch.Instance) error {
