Runners: an event's ID that can't be sent ends no item

Callers would have read an item as dead that no engine had failed or rejected: its stream broke off after an event whose ID holds a control character or ends with a space, the request that resumes it can't be written with that ID (bhcode.BadRequest), and the runner took that for an item that can't be sent at all.

The ID is the engine's, not the item's. The output that ends with it is dropped, the request counts as interrupted, and the item starts anew, here or, from a checkpoint, at the next holder. An item whose own values can't be sent is given up as before, at the request without an ID (TestStoredItemThatCannotBeSentIsGivenUp). No store call is added, and a claim is kept or returned as after any interruption.

TestEventIDThatCannotBeSentEndsNoItem failed on the code before, with each of its four IDs: status 3 (dead) instead of 2, and no text.

--- a/bhjob/framing_test.go
+++ b/bhjob/framing_test.go
@@ -89,3 +89,24 @@
 		})
 	}
 }
+
+// TestEventIDThatCannotBeSentEndsNoItem guards against an item that is given up without an answer
+// that allows it: its stream broke off, and the ID of the last event can't stand in the request
+// that resumes it.
+func TestEventIDThatCannotBeSentEndsNoItem(t *testing.T) {
+	for _, id := range []string{"1\x01", "1 ", "\x7f", strings.Repeat("1\t", 2)} {
+		t.Run(fmt.Sprintf("%q", id), func(t *testing.T) {
+			store := bhstand.NewStore(bhstand.StoreConfig{})
+			r := newRunnerFixture(t, store, "a")
+			r.engine.set(func(e *fakeEngine) {
+				e.next = func(w http.ResponseWriter, r *http.Request) {
+					writeFramed(w, r, bhforward.FramedByClose, "", "id: "+id+"\ndata: j-0-1\n\nid: 3\ndata: j-")
+				}
+			})
+			require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+			results := r.waitResults("j", 1)
+			assert.Equal(t, Completed, results[0].Status)
+			assert.Equal(t, expectedOutput("j-0", 5), results[0].Text)
+		})
+	}
+}
--- a/bhjob/outcome.go
+++ b/bhjob/outcome.go
@@ -41,6 +41,10 @@
 		ir.recordResult(Result{ID: ir.item.ID, Status: Completed, Text: ir.output()}, "completed")
 	case ctx.Err() != nil:
 		ir.pauseFor(0)
+	case bhcode.Is(err, bhcode.BadRequest) && ir.checkpoint.LastEvent != "":
+		// The ID is an engine's, and may be all that can't be sent.
+		ir.dropOutput()
+		ir.interrupt(err)
 	case errors.Is(err, errRejected), errors.Is(err, errNoRoute), bhcode.Is(err, bhcode.BadRequest):
 		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, err.Error())
 	case errors.Is(err, errFailed):
@@ -55,14 +59,19 @@
 	case bhcode.Is(err, bhcode.Withheld):
 		ir.holdBack(err)
 	default:
-		ir.interruptions++
-		bhlog.Problem(ir.runner.config.Logger, "item.broken", err, "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent, "breaks", ir.interruptions)
-		if ir.interruptions >= maxInterruptions {
-			ir.releaseClaim(false)
-			return
-		}
-		ir.pauseFor(interruptedRetryDelay)
+		ir.interrupt(err)
+	}
+}
+
+// interrupt counts a request that was interrupted, and pauses the run or releases the claim.
+func (ir *itemRun) interrupt(err error) {
+	ir.interruptions++
+	bhlog.Problem(ir.runner.config.Logger, "item.broken", err, "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent, "breaks", ir.interruptions)
+	if ir.interruptions >= maxInterruptions {
+		ir.releaseClaim(false)
+		return
 	}
+	ir.pauseFor(interruptedRetryDelay)
 }
 
 // pauseFor pauses the run for at least the delay.
