Runner: an output whose last event has no ID begins anew after a break

The runner now asks Progress.Resumable too: an output that can't be resumed is dropped before the next request, and isn't stored as a checkpoint.

--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -75,6 +75,9 @@
 	savedEvent string
 	text       []string
 	textBytes  int
+	// unplaced reports that the output ends with an event without an ID, so that no engine can
+	// resume it.
+	unplaced bool
 	// events counts the events of the output so far, and runTime is how long
 	// requests for the item have run, without the present one. resumed reports
 	// that the output began at another runner.
@@ -174,8 +177,12 @@
 
 func (ir *itemRun) remove() { delete(ir.runner.runs, ir.ref()) }
 
-// currentCheckpoint returns the checkpoint of the output so far.
+// currentCheckpoint returns the checkpoint of the output so far, which is empty if the
+// output can't be resumed.
 func (ir *itemRun) currentCheckpoint() Checkpoint {
+	if ir.unplaced {
+		return Checkpoint{}
+	}
 	checkpoint := ir.checkpoint
 	checkpoint.Text = ir.output()
 	return checkpoint
@@ -232,12 +239,13 @@
 	return ir.receiveEvents(answer, stall)
 }
 
-// bindOutput prepares the output for events of the instance. It drops what an
-// upstream of another software version wrote, since the two don't fit together.
+// bindOutput prepares the output for events of the instance. It drops what can't be
+// resumed, and what an upstream of another software version wrote, since the two don't
+// fit together.
 func (ir *itemRun) bindOutput(instance bhwatch.Instance) {
 	ir.runner.mu.Lock()
 	defer ir.runner.mu.Unlock()
-	if !ir.checkpoint.fits(instance) {
+	if ir.unplaced || !ir.checkpoint.fits(instance) {
 		bhlog.Event(ir.runner.config.Logger, "item.restarted", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent,
 			"service", ir.checkpoint.Service, "version", ir.checkpoint.Version, "upstream", instance.ID, "upstream_version", instance.Version)
 		ir.dropOutput()
@@ -248,7 +256,7 @@
 // dropOutput has the item start anew. The caller holds the runner's mutex.
 func (ir *itemRun) dropOutput() {
 	ir.checkpoint = Checkpoint{}
-	ir.savedEvent, ir.text, ir.textBytes, ir.events, ir.runTime, ir.resumed = "", nil, 0, 0, 0, false
+	ir.savedEvent, ir.text, ir.textBytes, ir.events, ir.runTime, ir.resumed, ir.unplaced = "", nil, 0, 0, 0, false, false
 }
 
 // targetInstance returns the engine's instance. The error is errNotServed if the route of
@@ -289,7 +297,7 @@
 		if len(events) > 0 {
 			stall.Reset(stallTimeout) // bytes that become no event are a stall
 		}
-		if failure := ir.addEvents(events, progress.Last); failure != nil {
+		if failure := ir.addEvents(events, progress); failure != nil {
 			return failure
 		}
 		switch {
@@ -301,9 +309,9 @@
 	}
 }
 
-// addEvents adds data, a sequence of complete events of which the last has the
-// id lastEvent. It drops the output and returns an error if that gets too large.
-func (ir *itemRun) addEvents(data []byte, lastEvent string) error {
+// addEvents adds data, a sequence of complete events that the progress ends with. It
+// drops the output and returns an error if that gets too large.
+func (ir *itemRun) addEvents(data []byte, progress *bhevent.Progress) error {
 	if len(data) == 0 {
 		return nil
 	}
@@ -321,7 +329,7 @@
 		ir.text = append(ir.text, strings.Join(event.Data, "\n"))
 		ir.events++
 	}
-	ir.checkpoint.LastEvent = lastEvent
+	ir.checkpoint.LastEvent, ir.unplaced = progress.Last, !progress.Resumable()
 	ir.streaming = true
 	return nil
 }
--- a/bhjob/stream_error_test.go
+++ b/bhjob/stream_error_test.go
@@ -65,3 +65,22 @@
 	require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("left", 1)))
 	assert.Equal(t, Result{ID: "left-0", Status: Completed, Text: expectedOutput("left-0", 3)}, r.waitResults("left", 1)[0])
 }
+
+// Guards against events without IDs that stand twice in an item's output: they came before a break,
+// and again when the item was resumed.
+func TestEventsWithoutIDsAreNotRepeatedInAnOutput(t *testing.T) {
+	for name, begin := range map[string]string{"none has one": "data: a\n\ndata: b\n\n", "the last has none": "id: 1\ndata: j-0-1\n\ndata: b\n\n"} {
+		t.Run(name, func(t *testing.T) {
+			store := bhstand.NewStore(bhstand.StoreConfig{})
+			r := newRunnerFixture(t, store, "a")
+			r.engine.set(func(e *fakeEngine) {
+				e.next = func(w http.ResponseWriter, r *http.Request) {
+					writeFramed(w, r, bhforward.FramedByLength, "", begin+"id")
+				}
+			})
+			require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+			assert.Equal(t, Result{ID: "j-0", Status: Completed, Text: expectedOutput("j-0", 5)}, r.waitResults("j", 1)[0])
+			assert.Empty(t, r.engine.requestHeaders()[1].Get(dialect.LastEvent), "begun anew")
+		})
+	}
+}
