--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -326,6 +326,9 @@
 		return bhcode.New(bhcode.AnswerIncomplete, "the output of an item has more than %d bytes", maxOutputBytes).WithRan(bhcode.RanYes)
 	}
 	for _, event := range bhevent.Parse(data) {
+		if event.IsComment() {
+			continue
+		}
 		ir.text = append(ir.text, strings.Join(event.Data, "\n"))
 		ir.events++
 	}
--- a/bhjob/stream_error_test.go
+++ b/bhjob/stream_error_test.go
@@ -84,3 +84,16 @@
 		})
 	}
 }
+
+// Guards against comments that stand as empty lines in an item's output.
+func TestCommentsAreNoPartOfAnOutput(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	r := newRunnerFixture(t, store, "a")
+	r.engine.set(func(e *fakeEngine) {
+		e.next = func(w http.ResponseWriter, r *http.Request) {
+			writeFramed(w, r, bhforward.FramedByLength, "", ": busy\n\nid: 1\ndata: a\n\n: still there\n\nid: 2\ndata: b\n\ndata: c\n\n")
+		}
+	})
+	require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+	assert.Equal(t, "a\nb\nc", r.waitResults("j", 1)[0].Text)
+}
