--- /dev/null
+++ b/bhjob/output.go
@@ -0,0 +1,112 @@
+package bhjob
+
+import (
+	"io"
+	"strings"
+	"time"
+
+	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhevent"
+	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
+)
+
+// maxOutputBytes bounds the output of an item, which is kept in memory. Outputs
+// have some kilobytes; an engine in trouble may send events without end.
+const maxOutputBytes = 4 << 20
+
+// bindOutput prepares the output for events of the instance. It drops what can't be
+// resumed, and what an upstream of another software version wrote, since the two don't
+// fit together.
+func (ir *itemRun) bindOutput(instance bhwatch.Instance) {
+	ir.runner.mu.Lock()
+	defer ir.runner.mu.Unlock()
+	if ir.unplaced || !ir.checkpoint.fits(instance) {
+		bhlog.Event(ir.runner.config.Logger, "item.restarted", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent,
+			"service", ir.checkpoint.Service, "version", ir.checkpoint.Version, "upstream", instance.ID, "upstream_version", instance.Version)
+		ir.dropOutput()
+	}
+	ir.checkpoint.Service, ir.checkpoint.Version = instance.Service, instance.Version
+}
+
+// dropOutput has the item start anew. The caller holds the runner's mutex.
+func (ir *itemRun) dropOutput() {
+	ir.checkpoint = Checkpoint{}
+	ir.savedEvent, ir.text, ir.textBytes, ir.events, ir.runTime, ir.resumed, ir.unplaced = "", nil, 0, 0, 0, false, false
+}
+
+// currentCheckpoint returns the checkpoint of the output so far, which is empty if the
+// output can't be resumed.
+func (ir *itemRun) currentCheckpoint() Checkpoint {
+	if ir.unplaced {
+		return Checkpoint{}
+	}
+	checkpoint := ir.checkpoint
+	checkpoint.Text = ir.output()
+	return checkpoint
+}
+
+// output returns the text received so far, including that of the loaded
+// checkpoint.
+func (ir *itemRun) output() string {
+	if len(ir.text) == 0 {
+		return ir.checkpoint.Text
+	}
+	return strings.Join(ir.text, "\n")
+}
+
+// receiveEvents receives events until the stream ends. It restarts the stall
+// timer whenever events arrive.
+func (ir *itemRun) receiveEvents(answer *bhforward.Answer, stall *time.Timer) error {
+	progress := &bhevent.Progress{Last: ir.checkpoint.LastEvent}
+	if progress.Last != "" {
+		progress.Resume()
+	}
+	reader := bhevent.NewReader(bhevent.ReaderConfig{
+		Source: answer.Body, Progress: progress, EndsWithConnection: answer.Framing == bhforward.FramedByClose,
+	})
+	for {
+		events, err := reader.Next()
+		if len(events) > 0 {
+			stall.Reset(stallTimeout) // bytes that become no event are a stall
+		}
+		if failure := ir.addEvents(events, progress); failure != nil {
+			return failure
+		}
+		switch {
+		case err == io.EOF:
+			return nil
+		case err != nil:
+			return bhcode.Wrap(err, bhcode.AnswerIncomplete, "stream of an item").WithRan(bhcode.RanYes)
+		}
+	}
+}
+
+// addEvents adds data, a sequence of complete events that the progress ends with. It
+// drops the output and returns an error if that gets too large.
+func (ir *itemRun) addEvents(data []byte, progress *bhevent.Progress) error {
+	if len(data) == 0 {
+		return nil
+	}
+	ir.runner.mu.Lock()
+	defer ir.runner.mu.Unlock()
+	if len(ir.text) == 0 && ir.checkpoint.Text != "" {
+		ir.text, ir.textBytes = []string{ir.checkpoint.Text}, len(ir.checkpoint.Text)
+		ir.checkpoint.Text = ""
+	}
+	if ir.textBytes += len(data); ir.textBytes > maxOutputBytes {
+		ir.dropOutput()
+		return bhcode.New(bhcode.AnswerIncomplete, "the output of an item has more than %d bytes", maxOutputBytes).WithRan(bhcode.RanYes)
+	}
+	for _, event := range bhevent.Parse(data) {
+		if event.IsComment() {
+			continue
+		}
+		ir.text = append(ir.text, strings.Join(event.Data, "\n"))
+		ir.events++
+	}
+	ir.checkpoint.LastEvent, ir.unplaced = progress.Last, !progress.Resumable()
+	ir.streaming = true
+	return nil
+}
