Chat: an answer that can't be read is one of a request that ran

After an engine's malformed event, or a line without an end, the caller of a chat was told "ran": "no", though an engine had answered: the error had the default of one that is found before a request is sent. TestDecoderTellsThatTheEngineRan read "no" before.

--- a/bhchat/chat_test.go
+++ b/bhchat/chat_test.go
@@ -117,3 +117,13 @@
 	require.NoError(t, err)
 	assert.JSONEq(t, `{"id":"b","created":7,"choices":[{"delta":{"tool_calls":[1]}}],"x":{"y":2}}`, string(renamed))
 }
+
+// Guards against a chat that ran, and whose caller is told that it did not.
+func TestDecoderTellsThatTheEngineRan(t *testing.T) {
+	for _, text := range []string{"data: {\n", "data: " + strings.Repeat("x", maxLineBytes)} {
+		var decoder Decoder
+		_, err := decoder.Feed([]byte(text))
+		require.Error(t, err)
+		assert.Equal(t, bhcode.RanYes, bhcode.From(err).Ran)
+	}
+}
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -50,7 +50,7 @@
 		}
 	}
 	if len(d.pending) > maxLineBytes {
-		return chunks, bhcode.New(bhcode.UpstreamFailed, "event of over %d bytes", maxLineBytes)
+		return chunks, bhcode.New(bhcode.UpstreamFailed, "event of over %d bytes", maxLineBytes).WithRan(bhcode.RanYes)
 	}
 	return chunks, nil
 }
@@ -73,7 +73,7 @@
 	}
 	var chunk Chunk
 	if err := json.Unmarshal(data, &chunk); err != nil {
-		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event")
+		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event").WithRan(bhcode.RanYes)
 	}
 	chunk.Raw = data
 	return chunk, true, nil
