Chat: an engine's error within its stream isn't passed on

Callers of a chat that went on at the next engine read that engine's error in the middle of it, and then the rest by a third one; an event of null ended the request by a panic, since a chunk was renamed that had no fields.

Cause: whatever JSON followed data: was taken for a chunk. Each chunk has choices or usage; what has neither is now an answer that failed: the chat goes on at the next engine, and a batch item's run counts as one that its engine failed, as after 500.

--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -29,8 +29,8 @@
 }
 
 // Feed appends the next bytes of the stream and returns the chunks that they
-// complete. If an event is malformed or a line without an end exceeds 1 MiB, it
-// returns the chunks before the fault and an error with the code
+// complete. If an event is malformed or no chunk, such as an error, or a line without an
+// end exceeds 1 MiB, it returns the chunks before the fault and an error with the code
 // bhcode.UpstreamFailed.
 func (d *Decoder) Feed(data []byte) ([]Chunk, error) {
 	d.pending = append(d.pending, data...)
@@ -75,6 +75,9 @@
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event").WithRan(bhcode.RanYes)
 	}
+	if chunk.Choices == nil && chunk.Usage == nil {
+		return Chunk{}, false, bhcode.New(bhcode.UpstreamFailed, "an event without choices or usage instead of a chunk").WithRan(bhcode.RanYes)
+	}
 	chunk.Raw = data
 	return chunk, true, nil
 }
