Chat: a refusal by the engine that was to continue is no answer

The caller of a chat that isn't streamed got the refusal of the second engine, such as 429, as its answer, though another engine had begun it, and a status that means no refusal either (204, a redirect) as an answer of the first.

Cause: whether an answer had begun was told by what the caller had read. It is told by what engines have written now, and statuses other than 200 and 4xx are failures of the engine. The chat goes on at the next engine; if none is left, it fails as one that ran.

--- a/bhentry/chat_error_test.go
+++ b/bhentry/chat_error_test.go
@@ -42,6 +42,9 @@
 			body   string
 		}{
 			{500, `{"error": "out of memory"}`},
+			{429, `{"error": "out of memory"}`},
+			{302, ""},
+			{204, ""},
 			{200, ""},
 			{200, `{"error": "out of memory"}` + "\n\n"},
 			{200, "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 13\r\n\r\nout of memory\n\n"},
--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -23,9 +23,10 @@
 	return &bufferedChatSink{bufferedSink: bufferedSink{body: body}, c: c}, nil
 }
 
-// engineError returns UpstreamFailed if the status is 500 or above, else nil.
+// engineError returns UpstreamFailed unless the status is that of an answer, 200, or of a
+// refusal of the request, 4xx.
 func engineError(status int) error {
-	if status < http.StatusInternalServerError {
+	if status == http.StatusOK || status/100 == 4 {
 		return nil
 	}
 	return bhcode.New(bhcode.UpstreamFailed, "the engine answered %d", status).WithRan(bhcode.RanUnknown)
@@ -188,10 +189,10 @@
 	return s.c.JSON(http.StatusOK, s.collector.Completion(s.firstChunk.ID, created))
 }
 
-// writeRefusal forwards the non-200 response of an engine. If the response to
-// the caller has begun, it returns AnswerIncomplete instead.
+// writeRefusal forwards the refusal of an engine. If an earlier engine has begun the
+// response, it returns AnswerIncomplete instead.
 func (s *chatSink) writeRefusal() error {
-	if s.c.Response().Committed {
+	if s.c.Response().Committed || s.collector.Tokens() > 0 {
 		return bhcode.New(bhcode.AnswerIncomplete, "the next engine answered %d", s.status).WithRan(bhcode.RanYes)
 	}
 	return s.c.Blob(s.status, "application/json", s.refusalBody)
