Chat: only the end marker of the engine that ended it completes a chat

A chat whose first engine wrote the end marker without a finish reason, and whose second one broke off behind a finish reason, ended as complete: the collector kept the marker over the attempts. TestEndMarkerOfAnEarlierEngineCompletesNoChat completed at the second engine before. It now counts for the attempt that brought it; that alone still completes a chat of which nothing was left.

--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -114,8 +114,9 @@
 
 // Resume returns the text and token count that another engine needs to continue
 // the response. If there are any tokens, it also marks the response as coming
-// from more than one engine.
+// from more than one engine. The end marker of an earlier engine doesn't count.
 func (c *Collector) Resume() Resume {
+	c.done = false
 	if c.tokens > 0 {
 		c.resumed = true
 	}
