Sidecar: an encoded stream is complete in its framing

A plain service's stream of events that was encoded for its caller (gzip, br) was broken off at its end: its bytes were read as events, and hardly ever end with a blank line. The sidecar judged the type by a check of its own; it now uses bhevent.KindOf. TestEncodedPlainStreamIsComplete got an unexpected EOF before.

--- a/bhentry/framing_test.go
+++ b/bhentry/framing_test.go
@@ -13,10 +13,12 @@
 const (
 	wholeEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	cutEvents   = wholeEvents + "id: 3\nda"
+	// encodedEvents stands for an encoded stream, whose bytes aren't those of events.
+	encodedEvents = "\x0b\x02\n\n\x80"
 )
 
 // eventService answers with events, in the framing that the query names: length,
-// chunks or close. With the query cut, or the body "cut", the answer ends inside an
+// chunks or close. With the query encoded, they are encoded. With the query cut, or the body "cut", the answer ends inside an
 // event. The connection is closed in an orderly way.
 func eventService(w http.ResponseWriter, r *http.Request) {
 	request, err := io.ReadAll(r.Body)
@@ -34,6 +36,9 @@
 	}
 	defer conn.Close()
 	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	if query.Has("encoded") {
+		head, body = head+"Content-Encoding: br\r\n", encodedEvents
+	}
 	switch query.Get("framing") {
 	case "length":
 		fmt.Fprintf(conn, "%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
@@ -73,3 +78,15 @@
 	assert.Equal(t, http.StatusOK, status)
 	assert.Equal(t, wholeEvents, body)
 }
+
+// Guards against an encoded stream that is sound, and that was broken off because its bytes were
+// read as events.
+func TestEncodedPlainStreamIsComplete(t *testing.T) {
+	cluster := newTestCluster(t, http.HandlerFunc(eventService))
+	for _, framing := range []string{"length", "chunks", "close"} {
+		status, body, err := cluster.fetch(http.MethodGet, "/svc/x?encoded&framing="+framing)
+		require.NoError(t, err, framing)
+		assert.Equal(t, http.StatusOK, status, framing)
+		assert.Equal(t, encodedEvents, body, framing)
+	}
+}
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"mime"
 	"net/http"
 	"time"
 
@@ -109,8 +108,7 @@
 // of events that broke off, whatever its framing. It removes the length of a stream,
 // with which the caller would take the answer for complete before that end.
 func answerBody(response *http.Response) io.Reader {
-	kind, _, err := mime.ParseMediaType(response.Header.Get("Content-Type"))
-	if err != nil || kind != "text/event-stream" {
+	if bhevent.KindOf(response.Header) != bhevent.Declared {
 		return response.Body
 	}
 	response.Header.Del("Content-Length")
