Entry: nothing of its own is written into the stream of a service

A caller of a plain service whose stream broke off read the entry's error in it: after "id: 3\ndata: c" the text of the error ended the line and the event, so that an event with half of the service's data and the error came out as a whole one.

Cause: the entry tells the callers of chats by an event why their stream ends, and took each stream declared as one of events for a chat's. Chats pass on whole events; streams of services are passed on byte by byte. Only chats get the event now; both are aborted visibly.

Evidence: TestPlainStreamThatBreaksIsNotContinued read the error before.

--- a/bhentry/auth.go
+++ b/bhentry/auth.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	contextKeyCaller    = "caller"
-	contextKeyRequestID = "id"
-	bearerPrefix        = "Bearer "
-	requestIDBytes      = 12
+	contextKeyCaller = "caller"
+	// contextKeyChatEvents is set once the response is a stream of chat events.
+	contextKeyChatEvents = "chat_events"
+	contextKeyRequestID  = "id"
+	bearerPrefix         = "Bearer "
+	requestIDBytes       = 12
 )
 
 // caller is the authenticated sender of a request. On an open route its
--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -104,11 +104,12 @@
 	}
 }
 
-// abortResponse ends a response that has begun and can't be completed. On an
-// event stream it first sends the error as an event. It always aborts the
-// connection, so that the caller can't mistake the response for a complete one.
+// abortResponse ends a response that has begun and can't be completed. On a
+// stream of a chat it first sends the error as an event; that of a service may have
+// ended within an event. It always aborts the connection, so that the caller can't
+// mistake the response for a complete one.
 func (e *Entry) abortResponse(c echo.Context, failure *bhcode.Error) {
-	if c.Response().Header().Get("Content-Type") == contentTypeEventStream {
+	if c.Get(contextKeyChatEvents) != nil {
 		event, err := bhchat.Event(newErrorBody(failure))
 		if err == nil {
 			_, err = c.Response().Write(event)
--- a/bhentry/chat_error_test.go
+++ b/bhentry/chat_error_test.go
@@ -83,3 +83,15 @@
 	require.Error(t, chatAttempt(t, sink, 200, chatChunk(" of", `"stop"`)), "no end marker")
 	require.NoError(t, chatAttempt(t, sink, 200, bhchat.DoneEvent), "nothing was left")
 }
+
+// The caller of a chat that breaks off learns why from an event of its own.
+func TestChatThatBreaksEndsWithItsError(t *testing.T) {
+	recorder := httptest.NewRecorder()
+	request, err := bhchat.Parse([]byte(`{"model":"m","stream":true,"messages":[{"role":"user","content":"week"}]}`))
+	require.NoError(t, err)
+	sink := &chatSink{c: echo.New().NewContext(httptest.NewRequest(http.MethodPost, bhchat.Path, strings.NewReader("")), recorder), request: request}
+	err = chatAttempt(t, sink, 200, chatChunk("end", "null"))
+	require.Error(t, err)
+	assert.Panics(t, func() { (&Entry{}).abortResponse(sink.c, bhcode.From(err)) }, "aborts the connection")
+	assert.Contains(t, recorder.Body.String(), "}]}\n\ndata: {\"error\":{\"code\":2009,")
+}
--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -156,6 +156,7 @@
 		response.Header().Set("Content-Type", contentTypeEventStream)
 		response.Header().Set("Cache-Control", "no-cache")
 		response.WriteHeader(http.StatusOK)
+		s.c.Set(contextKeyChatEvents, true)
 	}
 	if _, err := response.Write(event); err != nil {
 		return bhcode.Wrap(err, bhcode.Cancelled, "the caller left").WithRan(bhcode.RanYes)
--- a/bhentry/framing_test.go
+++ b/bhentry/framing_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -90,3 +92,28 @@
 		assert.Equal(t, encodedEvents, body, framing)
 	}
 }
+
+// Guards against a plain service's stream that broke off and was joined with the answer of the next
+// service.
+func TestPlainStreamThatBreaksIsNotContinued(t *testing.T) {
+	services := make([]http.Handler, 2)
+	var calls atomic.Int64
+	for i := range services {
+		services[i] = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if calls.Add(1) > 1 {
+				http.Error(w, "out of memory\n", http.StatusInternalServerError)
+				return
+			}
+			w.Header().Set("Content-Type", "text/event-stream")
+			fmt.Fprint(w, wholeEvents+"id: 3\ndata: c")
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	cluster := newTestCluster(t, services...)
+	_, body, err := cluster.fetch(http.MethodGet, "/svc/x")
+	require.Error(t, err, "the stream must break visibly")
+	assert.Equal(t, wholeEvents+"id: 3\ndata: c", body, "nothing but the bytes of the service")
+	assert.EqualValues(t, 1, calls.Load())
+}
