--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -168,3 +168,21 @@
 		assert.Zero(t, next.count())
 	}
 }
+
+// Guards against the answer that follows a stream on its connection, and that a caller reads as the
+// rest of its stream.
+func TestAnswerBehindAStreamIsNotRelayed(t *testing.T) {
+	stream := wholeStream(7)
+	for _, answer := range []struct{ head, body string }{
+		{fmt.Sprintf("200 OK\r\nContent-Length: %d", len(stream)), stream},
+		{"200 OK\r\nTransfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(stream), stream)},
+	} {
+		u := newUpstream(t, framedAnswer(bhforward.FramedByClose, answer.head, answer.body+errorHead+"\r\n\r\nout of memory\r\n"))
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2}, u)
+		for range 2 {
+			_, body, err := g.do(g.request("/a/x"))
+			require.NoError(t, err)
+			assert.Equal(t, stream, body)
+		}
+	}
+}
