--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -26,7 +26,7 @@
 // engineError returns UpstreamFailed unless the status is that of an answer, 200, or of a
 // refusal of the request, 4xx.
 func engineError(status int) error {
-	if status == http.StatusOK || status/100 == 4 {
+	if status == http.StatusOK || status >= http.StatusBadRequest && status < http.StatusInternalServerError {
 		return nil
 	}
 	return bhcode.New(bhcode.UpstreamFailed, "the engine answered %d", status).WithRan(bhcode.RanUnknown)
