Runners: items have the attempts and the retention of the policy in force

Callers would have read an item as dead after one failure although the configuration in force since before its job was sent allows three: the gateway that took the job hadn't read that version yet (2 s are allowed), and the job's record keeps what the gateway's version said, for as long as the job lives. The same for a version that comes later, and for retentionS.

A runner now takes the larger one of the record's value and the present route's. Where the operator lowers a value, or the route is gone, the record's holds as before, so that no item ends earlier than it did. The record is unchanged, and the runner's own view of the policy is asked: no store call is added.

TestItemsHaveWhatALaterPolicyAllows failed on the code before: status 3 (dead) instead of waiting after one failure of two, and instead of claimed 6 s after the acceptance with a retention of 30 s.

--- a/bhjob/early_end_test.go
+++ b/bhjob/early_end_test.go
@@ -12,7 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabhaven/baobabhaven/bhplatform"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhstand"
+	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
 // TestAnswerOfAnotherEndsNoItem guards against an item that is given up for an answer that
@@ -138,3 +140,50 @@
 	}
 	return false
 }
+
+// TestItemsHaveWhatALaterPolicyAllows guards against items that are given up by the attempts
+// and the retention of an older policy, which was replaced before or after their job was taken.
+func TestItemsHaveWhatALaterPolicyAllows(t *testing.T) {
+	later := batchRoute("/drafts/", "llm")
+	later.MaxAttempts, later.Retention = 2, 30*time.Second
+	submission := sampleJob("j", 2)
+	submission.Attempts, submission.Retention = 1, 5*time.Second
+	start := func(t *testing.T) (*Runner, *bhstand.Store) {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		runner, policies := newIdleRunner(t, store, store, "a.1")
+		require.NoError(t, newTestJobStore(store).Submit(t.Context(), submission))
+		policies.set(func(view *bhwatch.View) {
+			view.Index = bhpolicy.NewIndex(&bhpolicy.Policy{Routes: []bhpolicy.Route{later}, Services: engineServices})
+		})
+		claimIdle(t, runner, "j", "j-0")
+		return runner, store
+	}
+	t.Run("attempts", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			runner, store := start(t)
+			for _, want := range []Status{Waiting, Dead} {
+				onlyRun(t, runner).handle(t.Context(), errFailed)
+				synctest.Wait()
+				require.Equal(t, want, stateOf(t, store, "j", "j-0").Status)
+				if want == Waiting {
+					claimIdle(t, runner, "j", "j-0")
+				}
+			}
+		})
+	})
+	t.Run("retention", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			runner, store := start(t)
+			for _, step := range []struct {
+				after time.Duration
+				want  Status
+			}{{6 * time.Second, Claimed}, {23 * time.Second, Claimed}, {2 * time.Second, Dead}} {
+				time.Sleep(step.after)
+				require.NoError(t, runner.readJobs(t.Context(), partition("zoo")))
+				synctest.Wait()
+				require.Equal(t, step.want, stateOf(t, store, "j", "j-0").Status)
+				assert.Equal(t, step.want == Dead, len(runner.runs) == 0)
+			}
+		})
+	})
+}
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -87,7 +87,7 @@
 		Account: ir.job.Account, Method: http.MethodPost, Host: ir.job.Host, Target: ir.item.Target, Body: ir.item.Body,
 		Prompt: ir.runner.config.Dialect.WholePrompt(header), Parts: ir.runner.config.Dialect.SharedParts(header),
 	}.Traits()
-	traits.Until = time.Now().Add(ir.job.Expires - ir.runner.storeNow())
+	traits.Until = time.Now().Add(ir.runner.expires(ir.job) - ir.runner.storeNow())
 	return traits
 }
 
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -162,7 +162,7 @@
 
 // expire stops the run and records the item as dead.
 func (ir *itemRun) expire() {
-	bhlog.Event(ir.runner.config.Logger, "item.expired", "item", ir.item.ID, "job", ir.job.ID, "expires", ir.job.Expires)
+	bhlog.Event(ir.runner.config.Logger, "item.expired", "item", ir.item.ID, "job", ir.job.ID, "expires", ir.runner.expires(ir.job))
 	ir.stop(func() { ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, "expired") })
 }
 
@@ -245,7 +245,7 @@
 	header.Set(dialect.Instance, instance)
 	header.Set(dialect.Account, ir.job.Account)
 	ir.runner.mu.Lock()
-	lastEvent, remaining := ir.checkpoint.LastEvent, ir.job.Expires-ir.runner.storeNow()
+	lastEvent, remaining := ir.checkpoint.LastEvent, ir.runner.expires(ir.job)-ir.runner.storeNow()
 	ir.runner.mu.Unlock()
 	header.Set(dialect.Deadline, strconv.FormatInt(max(1000, remaining.Milliseconds()), 10))
 	if lastEvent != "" {
--- a/bhjob/outcome.go
+++ b/bhjob/outcome.go
@@ -94,8 +94,9 @@
 	if state := ir.job.item(ir.item.ID); state != nil {
 		failures += state.Failures
 	}
-	bhlog.Event(ir.runner.config.Logger, "item.failed", "item", ir.item.ID, "job", ir.job.ID, "failures", failures, "attempts", ir.job.Attempts)
-	if failures >= ir.job.Attempts {
+	attempts := ir.runner.attempts(ir.job)
+	bhlog.Event(ir.runner.config.Logger, "item.failed", "item", ir.item.ID, "job", ir.job.ID, "failures", failures, "attempts", attempts)
+	if failures >= attempts {
 		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, fmt.Sprintf("failed %d times", failures))
 		return
 	}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -253,7 +253,7 @@
 		job := open[jobName(run.job.Account, run.job.ID)]
 		if run.claimedAt < sent && (job == nil || claimedItem(job, run.item.ID, r.config.Holder) == nil) {
 			run.drop("the claim was lost")
-		} else if now > run.job.Expires {
+		} else if now > r.expires(run.job) {
 			run.expire()
 		}
 	}
