Runners: the logs tell by which clock and which policy an item is given up

item.ended said that an item's route no longer exists, and item.expired when it expires, but not by which version of the policy, how much newer than the claim it is, and what the store's clock reads.

--- a/bhjob/early_end_test.go
+++ b/bhjob/early_end_test.go
@@ -71,7 +71,7 @@
 		},
 		"a rejection":      func(run *itemRun) { run.handle(context.Background(), errRejected) },
 		"a removed route":  func(run *itemRun) { run.handle(context.Background(), errNoRoute) },
-		"an item too old":  func(run *itemRun) { run.expire() },
+		"an item too old":  func(run *itemRun) { run.expire(run.job.Expires + 1) },
 		"a returned claim": func(run *itemRun) { run.release("held up") },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -160,9 +160,10 @@
 	}
 }
 
-// expire stops the run and records the item as dead.
-func (ir *itemRun) expire() {
-	bhlog.Event(ir.runner.config.Logger, "item.expired", "item", ir.item.ID, "job", ir.job.ID, "expires", ir.runner.expires(ir.job))
+// expire stops the run and records the item as dead. The store's clock reads now.
+func (ir *itemRun) expire(now time.Duration) {
+	bhlog.Event(ir.runner.config.Logger, "item.expired", "item", ir.item.ID, "job", ir.job.ID,
+		"accepted", ir.job.Accepted, "expires", ir.runner.expires(ir.job), "now", now)
 	ir.stop(func() { ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, "expired") })
 }
 
@@ -227,7 +228,7 @@
 	route := view.Index.RouteNamed(ir.job.Route)
 	switch {
 	case route == nil && view.ProvenAt > ir.claimedAt+routeGoneAfter:
-		return instance, errNoRoute
+		return instance, errors.Wrapf(errNoRoute, "policy %d, in force %s after the claim", view.Index.Policy.Version, view.ProvenAt-ir.claimedAt)
 	case route == nil:
 		return instance, errRouteUnknown
 	case !route.Serves(instance.Service) || ir.runner.takesNone(instance):
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -254,7 +254,7 @@
 		if run.claimedAt < sent && (job == nil || claimedItem(job, run.item.ID, r.config.Holder) == nil) {
 			run.drop("the claim was lost")
 		} else if now > r.expires(run.job) {
-			run.expire()
+			run.expire(now)
 		}
 	}
 	return nil
