Sidecar: batch items are owed after answers that say that they did not run

A batch of our own interface listed an item as failed for good after one answer of 408 or 421, though both promise that it didn't run: 421 is what another worker at a reused address answers. They are now taken as 429 and 503 are: the item is tried again, and its chunk is released after MaxRefusals.

TestBatchItemIsOwedAfterAnAnswerThatSaysNotRun failed on the code before, for 408 and 421: 6004 (the item failed) instead of 2001 (no upstream).

--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -314,15 +314,17 @@
 }
 
 // responseError returns the error for an engine's status other than 200:
-// NoUpstream for 404, 429 and 503, ItemFailed for other statuses below 500, and
-// UpstreamFailed for the rest. If the body can't be read, it is UpstreamLost.
+// NoUpstream for 404 and the statuses that say that it did not run (408, 421, 429 and
+// 503), ItemFailed for other statuses below 500, and UpstreamFailed for the rest. If the
+// body can't be read, it is UpstreamLost.
 func responseError(response *http.Response) error {
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
 	if err != nil {
 		return bhcode.Wrap(err, bhcode.UpstreamLost, "the engine ended without an answer")
 	}
 	switch status := response.StatusCode; {
-	case status == http.StatusNotFound, status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
+	case status == http.StatusNotFound, status == http.StatusRequestTimeout, status == http.StatusMisdirectedRequest,
+		status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return bhcode.New(bhcode.NoUpstream, "the engine does not take the item: %d", status)
 	case status < http.StatusInternalServerError:
 		return bhcode.New(bhcode.ItemFailed, "the engine refused the item with %d: %s", status, text)
--- a/bhsidecar/batch_test.go
+++ b/bhsidecar/batch_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -85,6 +86,19 @@
 	assert.True(t, bhcode.Is(err, bhcode.NoUpstream), "a model that is not loaded: %v", err)
 }
 
+// TestBatchItemIsOwedAfterAnAnswerThatSaysNotRun guards against an item that fails for good,
+// since an engine answered it once with a status that says that it did not run.
+func TestBatchItemIsOwedAfterAnAnswerThatSaysNotRun(t *testing.T) {
+	for status, want := range map[int]bhcode.Code{
+		http.StatusNotFound: bhcode.NoUpstream, http.StatusRequestTimeout: bhcode.NoUpstream, http.StatusMisdirectedRequest: bhcode.NoUpstream,
+		http.StatusTooManyRequests: bhcode.NoUpstream, http.StatusServiceUnavailable: bhcode.NoUpstream,
+		http.StatusBadRequest: bhcode.ItemFailed, http.StatusUnprocessableEntity: bhcode.ItemFailed, http.StatusInternalServerError: bhcode.UpstreamFailed,
+	} {
+		err := responseError(&http.Response{StatusCode: status, Body: http.NoBody})
+		assert.Equal(t, want, bhcode.From(err).Code, "status %d", status)
+	}
+}
+
 // Guards against an item whose text an engine of another version continued.
 func TestBatchItemGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
 	engine := newBatchEngine(t, bhstand.EngineConfig{}) // of version 1
