Entry: what a stopping entry can't finish is refused or answered in time

Here callers of a stopping entry saw EOF for a request with an idempotency key, and EOF or a 504 that blamed their deadline for other requests, whichever came first; a request that came at six tenths of the drain was passed on, although it may not be repeated.

Cause: nothing bound a request to the end of the drain. When it was over, the server closed the connections and cancelled the requests at the same moment, and requests with a key weren't cancelled at all.

bhdrain.Departure refuses what comes in the last half of the drain at once: not run, Retry-After 1. It cancels what still runs a tenth before the end, so that the answer "leaving" with "ran": "unknown" reaches the caller, a stream ends with an error event, and a claim is settled.

TestEntryAnswersWhatStillRunsAtTheEndOfItsStop and TestEntryRefusesRequestsThatComeLateInItsStop failed before: 504 in place of 503 and EOF; 200 in place of 503, with the late request passed on.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -38,7 +38,8 @@
 }
 
 // instrument tracks requests in flight and records their result and latency.
-// While the entry is leaving it asks callers to close their connections.
+// While the entry is leaving it asks callers to close their connections, refuses
+// requests that come late, and ends in time those that still run.
 func (e *Entry) instrument(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		e.inflight.Add()
@@ -47,7 +48,13 @@
 			c.Response().Header().Set(echo.HeaderConnection, "close")
 		}
 		start := time.Now()
-		err := next(c)
+		err := e.departure.Refusal()
+		if err == nil {
+			ctx, release := e.departure.Bind(c.Request().Context())
+			defer release()
+			c.SetRequest(c.Request().WithContext(ctx))
+			err = next(c)
+		}
 		if err != nil {
 			c.Error(err)
 		}
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -81,7 +81,7 @@
 		if lastErr == nil {
 			return nil
 		}
-		if cause := revocationCause(ctx); cause != nil {
+		if cause := cancelCause(ctx); cause != nil {
 			return cause
 		}
 		if ctx.Err() != nil || !mayRetry(lastErr, submit.Idempotent, sink) {
@@ -117,9 +117,9 @@
 	return bhroute.Neutral
 }
 
-// revocationCause returns the error with which bhsync.RunningRequests cancelled ctx,
-// KeyRevoked or ConfigStale, or nil if it didn't.
-func revocationCause(ctx context.Context) error {
+// cancelCause returns the error that cancelled ctx: KeyRevoked or ConfigStale from
+// bhsync.RunningRequests, or Leaving from bhdrain.Departure. It returns nil if neither did.
+func cancelCause(ctx context.Context) error {
 	var failure *bhcode.Error
 	if errors.As(context.Cause(ctx), &failure) {
 		return failure.WithRan(bhcode.RanUnknown)
--- a/bhentry/drain.go
+++ b/bhentry/drain.go
@@ -22,9 +22,11 @@
 // drain stops the entry gracefully within the drain timeout. At first it still
 // accepts requests but asks callers to close their connections: the load
 // balancer learns late that the entry leaves, and a request may already be on
-// its way on an idle connection. Then it waits for the requests in flight.
+// its way on an idle connection. Then it waits for the requests in flight. The
+// departure refuses what comes late, and ends in time what still runs.
 func (e *Entry) drain() {
 	e.leaving.Store(true)
+	e.departure.Begin()
 	bhlog.Event(e.logger, "entry.leaving", "inflight", e.inflight.Count())
 	bound := e.config.Settings.DrainTimeout()
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
--- a/bhentry/drain_test.go
+++ b/bhentry/drain_test.go
@@ -4,11 +4,13 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/stretchr/testify/assert"
 	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 )
 
@@ -16,7 +18,7 @@
 // connections. Otherwise a request sent on an idle connection may be lost
 // when the entry closes it.
 func TestLeavingEntryServesAndAsksToCloseConnections(t *testing.T) {
-	e := &Entry{metrics: newRequestMetrics(tally.NoopScope)}
+	e := &Entry{metrics: newRequestMetrics(tally.NoopScope), departure: bhdrain.NewDeparture(time.Minute)}
 	server := echo.New()
 	server.Use(e.instrument)
 	server.GET("/", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -63,6 +63,7 @@
 	inflight        bhdrain.Inflight
 	readiness       readiness
 	leaving         atomic.Bool
+	departure       *bhdrain.Departure
 	server          *http.Server
 	callers         *bhserve.CallerListener
 }
@@ -70,7 +71,7 @@
 // New returns an entry. It serves nothing until Run is called.
 func New(config Config) *Entry {
 	logger := bhlog.With(config.Logger, "role", "entry", "host", config.Settings.Host)
-	e := &Entry{readiness: readiness{startedAt: time.Now()}, config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope)}
+	e := &Entry{readiness: readiness{startedAt: time.Now()}, config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope), departure: bhdrain.NewDeparture(config.Settings.DrainTimeout())}
 	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
 	e.configStore = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	e.runningRequests = bhsync.NewRunningRequests(e.configStore)
@@ -104,8 +105,8 @@
 }
 
 // Run serves until ctx is done, then stops gracefully: it stops accepting
-// connections, waits for the requests in flight within the drain timeout, and
-// closes its sessions. It returns an error if it can't listen on an address of
+// connections, waits for the requests in flight, answers those that can't end
+// within the drain timeout, and closes its sessions. It returns an error if it can't listen on an address of
 // the settings, or if one of its tasks fails for good.
 func (e *Entry) Run(ctx context.Context) error {
 	settings := e.config.Settings
--- a/bhentry/harness_test.go
+++ b/bhentry/harness_test.go
@@ -40,6 +40,9 @@
 	url      string
 	admin    string
 	platform *bhstand.Platform
+	// stopEntry and stopSidecars begin planned stops; the latter by the handler's number.
+	stopEntry    func()
+	stopSidecars []func()
 	// tokens is added to the most tokens that a chat asks for.
 	tokens int
 }
@@ -78,11 +81,11 @@
 	}
 	change(&config)
 	storeConfig(t, platform.URL, config)
+	cluster := &testCluster{t: t, url: "http://" + entrySettings.Listen, admin: "http://" + entrySettings.Admin, platform: stub}
 	for _, sidecar := range sidecarSettings {
-		startDaemon(t, func(ctx context.Context) error { return bhsidecar.New(sidecarConfig(t, sidecar)).Run(ctx) })
+		cluster.stopSidecars = append(cluster.stopSidecars, startDaemon(t, func(ctx context.Context) error { return bhsidecar.New(sidecarConfig(t, sidecar)).Run(ctx) }))
 	}
-	startDaemon(t, func(ctx context.Context) error { return bhentry.New(entryConfig(t, entrySettings)).Run(ctx) })
-	cluster := &testCluster{t: t, url: "http://" + entrySettings.Listen, admin: "http://" + entrySettings.Admin, platform: stub}
+	cluster.stopEntry = startDaemon(t, func(ctx context.Context) error { return bhentry.New(entryConfig(t, entrySettings)).Run(ctx) })
 	require.Eventually(t, func() bool {
 		response, err := http.Get("http://" + entrySettings.Admin + "/readyz")
 		if err != nil {
@@ -132,7 +135,7 @@
 func newSettings(t *testing.T, role bhconf.Role, host, platform string) bhconf.Settings {
 	return bhconf.Settings{
 		Role: role, Host: host, Centre: "a", Link: unusedAddress(t), Admin: unusedAddress(t),
-		Platform: platform, Secrets: []string{"a-fleet-secret-for-tests"}, Drain: bhconf.Duration(time.Second),
+		Platform: platform, Secrets: []string{"a-fleet-secret-for-tests"}, Drain: bhconf.Duration(testDrain),
 	}
 }
 
@@ -151,8 +154,8 @@
 }
 
 // startDaemon runs a daemon until the test ends and requires that it returns no
-// error.
-func startDaemon(t *testing.T, serve func(context.Context) error) {
+// error. It returns a function that stops it earlier.
+func startDaemon(t *testing.T, serve func(context.Context) error) context.CancelFunc {
 	ctx, cancel := context.WithCancel(context.Background())
 	result := make(chan error, 1)
 	go func() { result <- serve(ctx) }()
@@ -160,6 +163,7 @@
 		cancel()
 		require.NoError(t, <-result)
 	})
+	return cancel
 }
 
 var issuedAddresses atomic.Int64
--- a/bhentry/plain.go
+++ b/bhentry/plain.go
@@ -43,7 +43,9 @@
 	atMostOnce := !submit.Idempotent && c.Request().Header.Get(headerIdempotency) != ""
 	parent := c.Request().Context()
 	if atMostOnce {
-		parent = context.WithoutCancel(parent)
+		bound, release := e.departure.Bind(context.WithoutCancel(parent))
+		defer release()
+		parent = bound
 	}
 	ctx, cancel := context.WithTimeout(parent, timeout)
 	defer cancel()
--- /dev/null
+++ b/bhentry/stop_test.go
@@ -0,0 +1,115 @@
+package bhentry_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// testDrain is the drain timeout of the daemons of a test cluster.
+const testDrain = time.Second
+
+// hangingService answers no request before its caller leaves. started gets a value for each request.
+func hangingService(started chan<- struct{}) http.Handler {
+	return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		started <- struct{}{}
+		<-r.Context().Done()
+	})
+}
+
+// answer is what a caller gets for a request.
+type answer struct {
+	status int
+	retry  string
+	body   string
+	err    error
+}
+
+// post sends a request that may not be repeated, and returns a channel that receives its answer.
+func (c *testCluster) post(path string) <-chan answer {
+	answers := make(chan answer, 1)
+	go func() {
+		response, err := c.send(context.Background(), http.MethodPost, path)
+		if err != nil {
+			answers <- answer{err: err}
+			return
+		}
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		answers <- answer{status: response.StatusCode, retry: response.Header.Get("Retry-After"), body: string(body), err: err}
+	}()
+	return answers
+}
+
+// TestEntryAnswersWhatStillRunsAtTheEndOfItsStop guards against requests that a planned stop of an
+// entry cuts off without an answer, although they may not be repeated.
+func TestEntryAnswersWhatStillRunsAtTheEndOfItsStop(t *testing.T) {
+	started := make(chan struct{}, 8)
+	cluster := newTestCluster(t, hangingService(started))
+	plain := cluster.post("/svc/x")
+	<-started
+	keyed := make(chan answer, 1)
+	go func() {
+		status, body, err := cluster.postWithKey(context.Background(), "k", "body")
+		keyed <- answer{status: status, body: body, err: err}
+	}()
+	<-started
+	cluster.stopEntry()
+	for _, answers := range []<-chan answer{plain, keyed} {
+		got := <-answers
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status)
+		assert.Contains(t, got.body, `"code":2008`)
+		assert.Contains(t, got.body, `"ran":"unknown"`)
+	}
+}
+
+// TestEntryRefusesRequestsThatComeLateInItsStop guards against requests that a stopping entry passes
+// on although too little time is left for them.
+func TestEntryRefusesRequestsThatComeLateInItsStop(t *testing.T) {
+	var ran atomic.Int32
+	cluster := newTestCluster(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	var conns [2]net.Conn
+	for i := range conns {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(cluster.url, "http://"))
+		require.NoError(t, err)
+		defer conn.Close()
+		fmt.Fprint(conn, "POST /svc/x HTTP/1.1\r\nHost: x\r\n") // the entry waits for the rest
+		conns[i] = conn
+	}
+	require.Eventually(t, func() bool {
+		status, _, err := cluster.fetch(http.MethodGet, "/svc/x")
+		return err == nil && status == 200
+	}, eventuallyTimeout, pollInterval)
+	before := ran.Load()
+	cluster.stopEntry()
+	finish := func(conn net.Conn) (*http.Response, string) {
+		fmt.Fprintf(conn, "Authorization: Bearer %s\r\nContent-Length: 0\r\n\r\n", testAPIKey)
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response, string(body)
+	}
+	time.Sleep(testDrain / 5)
+	response, body := finish(conns[0])
+	assert.Equal(t, http.StatusOK, response.StatusCode, body)
+	time.Sleep(testDrain * 4 / 10)
+	response, body = finish(conns[1])
+	assert.Equal(t, http.StatusServiceUnavailable, response.StatusCode)
+	assert.Equal(t, "1", response.Header.Get("Retry-After"))
+	assert.Contains(t, body, `"ran":"no"`)
+	assert.Equal(t, before+1, ran.Load(), "the late request was passed on")
+}
