Sidecar: a stopping sidecar ends what it can't finish, and says whether it ran

Callers of requests at a stopping sidecar were told of a lost upstream with "ran": "unknown" when the drain was over, also if their request had only waited for a slot there and another host could have served it.

Cause: at the end of the drain the sessions were closed under the streams that were left, so that no end frame reached the entry; requests in the queue were kept until then.

What waits for a slot is refused after half of the drain, as not run; the entry sends it elsewhere, and as a leaving host refuses all that at once, the first retry after it spends no retry budget. What runs is ended a tenth before the end, with "leaving" and whether it ran, which is sent before the sessions close.

TestSidecarAnswersWhatItCannotFinishInItsStop and TestRequestThatWaitsAtAStoppingSidecarRunsElsewhere failed before, with 502 and "upstream_lost". TestFirstRetryAfterFailedOrLeavingUpstreamSpendsNoBudget holds the earlier checks and two for leaving hosts.

--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -87,7 +87,7 @@
 		if ctx.Err() != nil || !mayRetry(lastErr, submit.Idempotent, sink) {
 			return lastErr
 		}
-		if spendsBudget(submit.Attempt, outcome) && !e.retryBudgets.AllowRetry(submit.Group) {
+		if spendsBudget(submit.Attempt, outcome, lastErr) && !e.retryBudgets.AllowRetry(submit.Group) {
 			return lastErr
 		}
 		request.Exclude = append(request.Exclude, target.upstream)
@@ -99,9 +99,10 @@
 // spendsBudget reports whether a retry after the given attempt, counted from 1,
 // spends the retry budget. The first retry after a failed upstream is free: an
 // engine crash fails all its running requests at once, and the circuit breaker
-// limits how many requests a failing engine gets.
-func spendsBudget(attempt int, outcome bhroute.Outcome) bool {
-	return attempt > 1 || outcome != bhroute.Failed
+// limits how many requests a failing engine gets. So is the first one after a
+// leaving host, which refuses all that waits there at once and gets nothing more.
+func spendsBudget(attempt int, outcome bhroute.Outcome, err error) bool {
+	return attempt > 1 || outcome != bhroute.Failed && !bhcode.Is(err, bhcode.Leaving)
 }
 
 // upstreamOutcome returns what the result of an attempt says about the health
--- a/bhentry/dispatch_test.go
+++ b/bhentry/dispatch_test.go
@@ -25,8 +25,11 @@
 	}
 }
 
-func TestFirstRetryAfterFailedUpstreamSpendsNoBudget(t *testing.T) {
-	assert.False(t, spendsBudget(1, bhroute.Failed))
-	assert.True(t, spendsBudget(2, bhroute.Failed))
-	assert.True(t, spendsBudget(1, bhroute.Neutral))
+func TestFirstRetryAfterFailedOrLeavingUpstreamSpendsNoBudget(t *testing.T) {
+	overloaded, leaving := bhcode.New(bhcode.Overloaded, ""), bhcode.New(bhcode.Leaving, "")
+	assert.False(t, spendsBudget(1, bhroute.Failed, bhcode.New(bhcode.UpstreamLost, "")))
+	assert.True(t, spendsBudget(2, bhroute.Failed, bhcode.New(bhcode.UpstreamLost, "")))
+	assert.True(t, spendsBudget(1, bhroute.Neutral, overloaded))
+	assert.False(t, spendsBudget(1, bhroute.Neutral, leaving))
+	assert.True(t, spendsBudget(2, bhroute.Neutral, leaving))
 }
--- a/bhentry/stop_test.go
+++ b/bhentry/stop_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhconf"
 )
 
 // testDrain is the drain timeout of the daemons of a test cluster.
@@ -113,3 +115,61 @@
 	assert.Contains(t, body, `"ran":"no"`)
 	assert.Equal(t, before+1, ran.Load(), "the late request was passed on")
 }
+
+// TestSidecarAnswersWhatItCannotFinishInItsStop guards against requests that the end of a sidecar's
+// stop cuts off: callers were told of a lost upstream, also if their request had waited for a slot
+// and didn't run.
+func TestSidecarAnswersWhatItCannotFinishInItsStop(t *testing.T) {
+	started := make(chan struct{}, 8)
+	cluster := newChangedCluster(t, func(config *bhconf.Config) { config.Upstreams[0].Slots = 1 }, hangingService(started))
+	running := cluster.post("/svc/running")
+	<-started
+	waiting := cluster.post("/svc/waiting")
+	require.Never(t, func() bool { return len(started) > 0 }, testDrain/5, pollInterval)
+	cluster.stopSidecars[0]()
+	for _, c := range []struct {
+		answers <-chan answer
+		ran     string
+	}{{waiting, "no"}, {running, "unknown"}} {
+		got := <-c.answers
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+		assert.Contains(t, got.body, `"code":2008`)
+		assert.Contains(t, got.body, `"ran":"`+c.ran+`"`)
+		assert.Equal(t, "1", got.retry)
+	}
+	assert.Empty(t, started, "the waiting request was not sent")
+}
+
+// TestRequestThatWaitsAtAStoppingSidecarRunsElsewhere guards against the same while another host
+// could serve the request.
+func TestRequestThatWaitsAtAStoppingSidecarRunsElsewhere(t *testing.T) {
+	started := make(chan struct{}, 8)
+	free := make(chan struct{})
+	cluster := newChangedCluster(t, func(config *bhconf.Config) {
+		for i := range config.Upstreams {
+			config.Upstreams[i].Slots = 1
+		}
+	}, hangingService(started), http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		started <- struct{}{}
+		<-free
+	}))
+	for range 2 { // one at each
+		cluster.post("/svc/running")
+		<-started
+	}
+	var waiting []<-chan answer
+	for range 4 {
+		waiting = append(waiting, cluster.post("/svc/waiting"))
+	}
+	require.Never(t, func() bool { return len(started) > 0 }, testDrain/5, pollInterval)
+	cluster.stopSidecars[0]()
+	time.Sleep(testDrain * 7 / 10)
+	close(free)
+	for _, answers := range waiting {
+		got := <-answers
+		require.NoError(t, got.err)
+		assert.Equal(t, http.StatusOK, got.status, got.body)
+	}
+}
--- a/bhsidecar/admission.go
+++ b/bhsidecar/admission.go
@@ -44,7 +44,7 @@
 }
 
 // admit waits for a slot and returns the function that frees the slot. The
-// error is the queue's refusal, QueueTimeout at the deadline of ctx, or
+// error is the queue's refusal, QueueTimeout at the deadline of ctx, Leaving, or
 // Cancelled. It reports that the request did not run.
 func (a *admission) admit(ctx context.Context, submit bhwire.Submit) (func(), error) {
 	id, decision := a.addWaiter()
@@ -75,8 +75,12 @@
 }
 
 // queueWaitError returns the error of a request whose context ended in the
-// queue: QueueTimeout after the deadline, otherwise Cancelled.
+// queue: Leaving in a planned stop, QueueTimeout after the deadline, otherwise
+// Cancelled.
 func queueWaitError(ctx context.Context) error {
+	if leaving := leavingCause(ctx); leaving != nil {
+		return leaving
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return bhcode.New(bhcode.QueueTimeout, "no slot became free before the deadline")
 	}
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -51,6 +51,7 @@
 	upstreams     *upstreamSet
 	leaving       atomic.Bool
 	leaveStarted  chan struct{}
+	departure     *bhdrain.Departure
 	mesh          *bhmesh.Mesh
 	configStore   *bhsync.Store
 	syncNode      *bhsync.Node
@@ -70,6 +71,7 @@
 		logger:       logger,
 		upstreams:    newUpstreamSet(config.Settings.Host, logger),
 		leaveStarted: make(chan struct{}),
+		departure:    bhdrain.NewDeparture(config.Settings.DrainTimeout()),
 		sessions:     make(map[*bhlink.Session]struct{}),
 	}
 	s.configStore = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
@@ -89,8 +91,8 @@
 }
 
 // Run serves until ctx is done, then stops gracefully: it refuses new requests,
-// waits for running ones for at most Settings.DrainTimeout, and closes its
-// sessions. It returns an error if it can't listen or if one of its servers
+// waits for running ones, answers those that can't end within
+// Settings.DrainTimeout, and closes its sessions. It returns an error if it can't listen or if one of its servers
 // fails.
 func (s *Sidecar) Run(ctx context.Context) error {
 	listeners, err := bhserve.Listen(s.config.Settings.Link, s.config.Settings.Admin)
@@ -119,9 +121,12 @@
 }
 
 // drain refuses new requests, waits until the running ones have ended or the
-// drain bound has passed, and closes all sessions.
+// drain bound has passed, and closes all sessions. The departure refuses in time
+// what still waits for a slot, so that it can run on another host, and ends what
+// still runs.
 func (s *Sidecar) drain() {
 	s.leaving.Store(true)
+	s.departure.Begin()
 	close(s.leaveStarted)
 	bhlog.Event(s.logger, "sidecar.leaving")
 	drainCtx, cancel := context.WithTimeout(context.Background(), s.config.Settings.DrainTimeout())
--- a/bhsidecar/stream.go
+++ b/bhsidecar/stream.go
@@ -20,6 +20,8 @@
 	readBufferSize = 16 << 10
 	// sendEndTimeout bounds the time to send a stream's end frame.
 	sendEndTimeout = 5 * time.Second
+	// leavingRetryAfter is when a caller may come back, to another host.
+	leavingRetryAfter = time.Second
 )
 
 // stream is one request that an entry submitted on a live session.
@@ -52,14 +54,19 @@
 
 // execute admits the request, sends it to the upstream and forwards the answer.
 func (s *stream) execute(ctx context.Context) bhwire.End {
+	departure := s.session.sidecar.departure
 	if s.session.sidecar.leaving.Load() {
-		return endFromError(bhcode.New(bhcode.Leaving, "the host is leaving"))
+		return endFromError(bhcode.New(bhcode.Leaving, "the host is leaving").WithRetryAfter(leavingRetryAfter))
 	}
+	ctx, unbind := departure.Bind(ctx)
+	defer unbind()
 	upstream, err := s.session.sidecar.upstreams.find(s.submit)
 	if err != nil {
 		return endFromError(err)
 	}
-	release, err := upstream.admission.admit(ctx, s.submit)
+	waitCtx, started := departure.BindWaiting(ctx)
+	release, err := upstream.admission.admit(waitCtx, s.submit)
+	started()
 	if err != nil {
 		return endFromError(err)
 	}
@@ -82,7 +89,7 @@
 	body := answerBody(response)
 	head := bhwire.Head{Status: response.StatusCode, Header: response.Header}
 	if err := s.session.link.SendMessage(ctx, bhwire.KindHead, s.id, head); err != nil {
-		return endFromError(brokenAnswer(err))
+		return s.unsentEnd(ctx, err)
 	}
 	buffer := make([]byte, readBufferSize)
 	for {
@@ -91,7 +98,7 @@
 			s.bodyStarted = true
 			monitor.chunkReceived(time.Now())
 			if err := s.sendData(ctx, buffer[:n]); err != nil {
-				return endFromError(brokenAnswer(err))
+				return s.unsentEnd(ctx, err)
 			}
 			monitor.chunkForwarded(time.Now())
 		}
@@ -159,15 +166,36 @@
 	return end
 }
 
-// interruptedError returns the error of a request whose context ended:
-// RunTimeout after the deadline, otherwise Cancelled.
+// unsentEnd returns the end frame of a request whose answer couldn't be sent to the entry.
+func (s *stream) unsentEnd(ctx context.Context, err error) bhwire.End {
+	if ctx.Err() != nil {
+		return endFromError(s.interruptedError(ctx, bhcode.RanYes))
+	}
+	return endFromError(brokenAnswer(err))
+}
+
+// interruptedError returns the error of a request whose context ended: Leaving at the
+// end of a planned stop, RunTimeout after the deadline, otherwise Cancelled.
 func (s *stream) interruptedError(ctx context.Context, ran bhcode.Ran) error {
+	if leaving := leavingCause(ctx); leaving != nil {
+		return leaving.WithRan(ran)
+	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return bhcode.New(bhcode.RunTimeout, "the deadline passed while the request ran").WithRan(ran)
 	}
 	return bhcode.New(bhcode.Cancelled, "cancelled while it ran").WithRan(ran)
 }
 
+// leavingCause returns the error with which bhdrain.Departure cancelled ctx, or nil if it
+// didn't.
+func leavingCause(ctx context.Context) *bhcode.Error {
+	var failure *bhcode.Error
+	if errors.As(context.Cause(ctx), &failure) && failure.Code == bhcode.Leaving {
+		return failure
+	}
+	return nil
+}
+
 // brokenAnswer wraps err as UpstreamFailed and marks the request as run.
 func brokenAnswer(err error) error {
 	return bhcode.Wrap(err, bhcode.UpstreamFailed, "the answer broke off").WithRan(bhcode.RanYes)
