Daemons: SIGHUP no longer ends an entry or a sidecar

Cause: nothing handled the signal, and the runtime's default ends the process. These daemons read their settings at the start only, so they ignore it now.

TestDaemonServesOnAfterSIGHUP runs both daemons in processes of their own; before, both ended with "signal: hangup".

--- a/bhcmd/daemon.go
+++ b/bhcmd/daemon.go
@@ -42,7 +42,7 @@
 		Name:  string(role),
 		Usage: usage,
 		Description: describe(
-			"SIGTERM or SIGINT stops it gracefully. Logs go to the standard error output.",
+			"SIGTERM or SIGINT stops it gracefully. The settings are read at the start only, and SIGHUP is ignored. Logs go to the standard error output.",
 			example,
 		),
 		Flags: []cli.Flag{
@@ -58,6 +58,7 @@
 }
 
 func runDaemon(ctx context.Context, factory *Factory, role bhconf.Role, options DaemonOptions) error {
+	signal.Ignore(syscall.SIGHUP) // it would end the process without a stop
 	data, err := os.ReadFile(options.Settings)
 	if err != nil {
 		return errors.Wrap(err, "settings")
