Runner: a claim that is on the way when a runner stops is returned

A claim that the store confirmed after Close had returned the others was started at the engine and kept by a runner that was ending, while others took the item over; a claim that began just before wrote the runner's heartbeat record again after Close had removed it. If the claims couldn't be returned in time, the record wasn't removed either, as the deadline was over, and others waited until its heartbeats had been missing for long.

Close waits for claims that are being made, a closed runner returns them, and the removal of the record has a second of its own.

TestClaimThatArrivesDuringAStopIsReturned, TestStopOutlivesClaimsThatAreOnTheWay and TestStopThatCannotReturnItsClaimsRemovesItsRecord failed before: the item was claimed and its run kept; the record was there in both.

--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -37,6 +37,8 @@
 	// maxItemsPerClaim limits the items of one claim, so that runners share a
 	// job.
 	maxItemsPerClaim = 2
+	// removeTimeout bounds the removal of a stopping runner's heartbeat record.
+	removeTimeout = time.Second
 )
 
 // itemRef names an item among those of all jobs.
@@ -152,7 +154,8 @@
 	// clockOffset is the reading of the store's clock minus that of the
 	// runner's.
 	clockOffset time.Duration
-	// tasks counts the goroutines of requests and of their last steps.
+	// tasks counts the goroutines of requests and of their last steps, and the claims
+	// that are being made.
 	tasks  sync.WaitGroup
 	closed bool
 }
@@ -300,9 +303,10 @@
 // claimFromJob claims and starts items of one of the most urgent jobs.
 func (r *Runner) claimFromJob(ctx context.Context) error {
 	free := r.claimableCount()
-	if free == 0 {
+	if free == 0 || !r.beginTask() {
 		return nil
 	}
+	defer r.tasks.Done()
 	if err := r.heartbeats.sendIfStale(ctx); err != nil {
 		return err
 	}
@@ -319,6 +323,17 @@
 	return failure
 }
 
+// beginTask counts a task, unless the runner is closed. It reports whether it did.
+func (r *Runner) beginTask() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		return false
+	}
+	r.tasks.Add(1)
+	return true
+}
+
 // claim claims up to limit items of one of the most urgent jobs. It returns the
 // changed job and the claimed items' ids. There are no ids if it found no items.
 func (r *Runner) claim(ctx context.Context, limit int) (*Job, []string, error) {
@@ -402,16 +417,20 @@
 		claimedRun.recordResult(Result{ID: id, Status: Dead}, fmt.Sprintf("the store has item %q under its name", loadedID))
 		return nil
 	}
-	if r.freeSlots > 0 && !r.expired(job) {
+	switch {
+	case r.closed:
+		claimedRun.release("the runner is stopping")
+	case r.freeSlots > 0 && !r.expired(job):
 		r.freeSlots--
 		claimedRun.start()
 	}
 	return nil
 }
 
-// Close stops all runs, returns their claims and waits until that is done or
-// ctx is. Then it removes the runner's heartbeat record and returns the error
-// of the removal.
+// Close stops all runs, returns their claims and those that are being made, and
+// waits until that is done or ctx is. Then it removes the runner's heartbeat
+// record, so that others soon take over the claims that are left, and returns the
+// error of the removal.
 func (r *Runner) Close(ctx context.Context) error {
 	r.mu.Lock()
 	r.closed = true
@@ -428,5 +447,7 @@
 	case <-done:
 	case <-ctx.Done():
 	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), removeTimeout)
+	defer cancel()
 	return r.heartbeats.remove(ctx)
 }
