Gateway: what a stop doesn't finish is answered before connections close

In a planned stop callers whose requests ran at the end of the grace saw their connection end without an answer, whatever the kind of request and however early it came. Nothing bound a request to the end of the stop: its deadline was the client's or the route's, and Server.stop closed what was left at 7.3 of 8 s.

Gate.Drain now gets the end of the work, 0.5 s before connections are closed. Every call's context ends then, that of waits for quota, policies, origins, the job store and the request's body, too, and upstreams are told of no more time. A call that wasn't sent is answered 503 with Retry-After, one that was 504 or 502; a stream that has begun breaks visibly. That the gateway ended an attempt isn't held against the upstream. The times of a stop are read once and are in bhdrain.Plan, whose margins shrink with a short drain time.

TestStopAnswersWhatItHasRead runs Server with requests of each kind before and after the signal.

--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -50,9 +50,12 @@
 
 // call is one request of a client.
 type call struct {
-	gate    *Gate
-	w       http.ResponseWriter
-	r       *http.Request
+	gate *Gate
+	w    http.ResponseWriter
+	r    *http.Request
+	// ctx is the request's context, which also ends with the gate's drain.
+	ctx     context.Context
+	cancel  func()
 	id      string
 	key     string
 	arrived time.Time
@@ -106,10 +109,17 @@
 
 func newCall(gate *Gate, w http.ResponseWriter, r *http.Request) *call {
 	dialect := &gate.config.Dialect
+	ctx, cancel := context.WithCancel(r.Context())
+	detach := context.AfterFunc(gate.ended, cancel)
 	return &call{
-		gate:    gate,
-		w:       w,
-		r:       r,
+		gate: gate,
+		w:    w,
+		r:    r,
+		ctx:  ctx,
+		cancel: func() {
+			detach()
+			cancel()
+		},
 		id:      r.Header.Get(dialect.RequestID),
 		key:     dialect.Key(r.Header),
 		arrived: time.Now(),
@@ -140,17 +150,35 @@
 		return err
 	}
 	if c.takesUp() {
-		if err := c.findOrigin(c.r.Context()); err != nil {
-			return err
+		if err := c.findOrigin(c.ctx); err != nil {
+			return c.finalError(c.ctx, err, err)
 		}
 	}
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	err := c.forward(ctx)
 	c.endContent(err)
 	return err
 }
 
+// drained reports whether the gate's drain is over, which ends the call.
+func (c *call) drained() bool { return c.gate.ended.Err() != nil }
+
+// leaving returns the error of a call that the gate doesn't run because it stops. Another
+// gateway takes it at once.
+func (c *call) leaving() error {
+	return bhcode.New(bhcode.Leaving, "the gateway stops before the request could be answered").WithRetryAfter(staleRetryAfter)
+}
+
+// workUntil returns until when upstreams may work on the call: its deadline, or the end of
+// the gate's drain if that is sooner.
+func (c *call) workUntil() time.Time {
+	if c.gate.isDraining() && c.gate.end.Before(c.deadline) {
+		return c.gate.end
+	}
+	return c.deadline
+}
+
 // admit finds the route and the account. Before it refuses a request that a newer
 // policy might allow, it reads the policy again.
 func (c *call) admit() error {
@@ -159,7 +187,7 @@
 	if err == nil || !confirmable(err) {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.r.Context(), confirmTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, confirmTimeout)
 	defer cancel()
 	view, failure := c.gate.config.Policies.Confirm(ctx)
 	if failure != nil {
@@ -226,6 +254,8 @@
 		return bhcode.New(bhcode.TooLarge, "the body is longer than %d bytes", limit)
 	case bhcode.Is(err, bhcode.Overloaded):
 		return err
+	case c.drained():
+		return c.leaving()
 	case isTimeout(err): // it cancels the request's context, too
 		return bhcode.Wrap(err, bhcode.QueueTimeout, "the body did not arrive in time")
 	case c.r.Context().Err() != nil:
@@ -243,12 +273,14 @@
 	if c.account == nil || c.account.Rate <= 0 {
 		return nil
 	}
-	decision := c.gate.config.Quota.Take(c.r.Context(), c.account, c.quotaPatience())
+	decision := c.gate.config.Quota.Take(c.ctx, c.account, c.quotaPatience())
 	switch {
 	case decision.Granted:
 		return nil
 	case c.r.Context().Err() != nil:
 		return errClientGone
+	case c.drained():
+		return c.leaving()
 	case decision.Unknown:
 		return bhcode.New(bhcode.RateUnknown, "no token of client account %s can be had, which may be below its rate", c.account.Name).WithRetryAfter(decision.RetryAfter)
 	}
--- a/bhgate/choose_upstream.go
+++ b/bhgate/choose_upstream.go
@@ -122,7 +122,7 @@
 // those with the loads. It returns an Overloaded error with the time to come back if not.
 func (c *call) admitTo(service string, load bhwire.Room, loads map[netip.AddrPort]bhwire.Room) error {
 	now := time.Now()
-	request := bhadmit.Request{Deadline: c.deadline.Sub(now)}
+	request := bhadmit.Request{Deadline: c.workUntil().Sub(now)}
 	if c.route.LatencyObjective > 0 {
 		request.Objective = c.arrived.Add(c.route.LatencyObjective).Sub(now)
 	}
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -123,8 +123,8 @@
 }
 
 // finalError returns the error of the call after the last attempt. It uses
-// fallback if no attempt failed, a timeout if the deadline passed, and
-// errClientGone if the client left.
+// fallback if no attempt failed, a timeout if the deadline passed or the gate's drain
+// ended, and errClientGone if the client left.
 func (c *call) finalError(ctx context.Context, lastErr, fallback error) error {
 	if c.r.Context().Err() != nil {
 		return errClientGone
@@ -133,13 +133,15 @@
 		lastErr = fallback
 	}
 	failure := bhcode.From(lastErr)
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		if failure.Ran == bhcode.RanNo {
-			return bhcode.Wrap(lastErr, bhcode.QueueTimeout, "no upstream took the request in time")
-		}
+	switch {
+	case ctx.Err() == nil:
+		return lastErr
+	case failure.Ran != bhcode.RanNo:
 		return bhcode.Wrap(lastErr, bhcode.RunTimeout, "the request did not finish in time").WithRan(failure.Ran)
+	case c.drained():
+		return c.leaving()
 	}
-	return lastErr
+	return bhcode.Wrap(lastErr, bhcode.QueueTimeout, "no upstream took the request in time")
 }
 
 // refreshView adopts a newer policy before each send, so that a request never
@@ -267,7 +269,7 @@
 		case bhcode.Is(err, bhcode.BadRequest): // nothing was sent
 		case errors.As(err, &forgotten):
 			c.gate.metrics.forgotten.Inc(1) // says nothing about the upstream's health
-		case c.r.Context().Err() == nil:
+		case c.r.Context().Err() == nil && !c.drained():
 			c.gate.config.Balancer.Failed(instance.ID, err)
 			c.engineWatch.failed()
 		}
@@ -294,7 +296,7 @@
 func (c *call) upstreamRequest(instance bhwatch.Instance, lastEventID string) *bhforward.Request {
 	dialect := &c.gate.config.Dialect
 	header := bhforward.EndToEnd(c.r.Header, dialect.KeyHeader, dialect.Account, dialect.Instance)
-	remaining := max(1, time.Until(c.deadline).Milliseconds())
+	remaining := max(1, time.Until(c.workUntil()).Milliseconds())
 	header.Set(dialect.Deadline, strconv.FormatInt(remaining, 10))
 	header.Set(dialect.Instance, instance.ID)
 	if c.account != nil {
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -104,7 +105,14 @@
 	times    *serviceTimes
 	weights  accountWeights
 	inflight bhdrain.Inflight
+
+	drain sync.Once
+	// draining is closed by Drain, which sets end before.
 	draining chan struct{}
+	end      time.Time
+	// ended is done at the end.
+	ended   context.Context
+	endWork context.CancelFunc
 }
 
 // New returns a gate. It isn't ready until its Policies know a policy and the
@@ -125,12 +133,23 @@
 	if config.Budget == nil {
 		config.Budget = bhspool.New(bhspool.Config{Total: defaultBudget})
 	}
-	return &Gate{config: config, metrics: newMetrics(config.Scope), times: newServiceTimes(), draining: make(chan struct{})}
+	ended, endWork := context.WithCancel(context.Background())
+	return &Gate{
+		config: config, metrics: newMetrics(config.Scope), times: newServiceTimes(),
+		draining: make(chan struct{}), ended: ended, endWork: endWork,
+	}
 }
 
-// Drain makes the gate report that it isn't ready, and close each client
-// connection after the next answer. It must be called at most once.
-func (g *Gate) Drain() { close(g.draining) }
+// Drain makes the gate report that it isn't ready, and close each client connection after
+// the next answer. Requests that aren't answered at the end are ended then, with an answer
+// unless theirs has begun. Only the first call has an effect.
+func (g *Gate) Drain(end time.Time) {
+	g.drain.Do(func() {
+		g.end = end
+		close(g.draining)
+		time.AfterFunc(time.Until(end), g.endWork)
+	})
+}
 
 // Inflight returns the number of requests in flight.
 func (g *Gate) Inflight() int { return g.inflight.Count() }
@@ -184,6 +203,7 @@
 	g.inflight.Add()
 	defer g.inflight.Done()
 	c := newCall(g, w, r)
+	defer c.cancel()
 	defer c.recover()
 	c.finish(c.endAnswer(c.serve()))
 }
--- a/bhgate/gate_test.go
+++ b/bhgate/gate_test.go
@@ -286,7 +286,7 @@
 func TestDrainingGateClosesConnectionsAfterAnswers(t *testing.T) {
 	u := newUpstream(t, answerOK)
 	g := newTestGate(t, bhpolicy.Route{}, u)
-	g.gate.Drain()
+	g.gate.Drain(time.Now().Add(time.Minute))
 	response, _, err := g.do(g.request("/a/x"))
 	require.NoError(t, err)
 	assert.Equal(t, http.StatusOK, response.StatusCode)
--- a/bhgate/hold.go
+++ b/bhgate/hold.go
@@ -1,6 +1,7 @@
 package bhgate
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -64,8 +65,16 @@
 	}
 	controller := http.NewResponseController(c.w)
 	_ = controller.SetReadDeadline(c.deadline)
+	aborted := make(chan struct{})
+	detach := context.AfterFunc(c.gate.ended, func() {
+		defer close(aborted)
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})
 	c.bodyHolding = c.gate.config.Budget.Open(func() {}) // bodies don't yield
 	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	if !detach() {
+		<-aborted
+	}
 	if err == nil { // otherwise the server would wait for the rest of the body
 		_ = controller.SetReadDeadline(time.Time{})
 	}
--- a/bhgate/jobs.go
+++ b/bhgate/jobs.go
@@ -112,7 +112,7 @@
 // and clients try again only a few times. Another gateway, which the client then
 // reaches, may have the store meanwhile, so the refusal isn't held back.
 func (c *call) submitAtOnce(submission bhjob.Submission) error {
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	err := c.checkStore()
 	if err == nil {
@@ -144,7 +144,7 @@
 		return bhcode.New(bhcode.NotFound, "host %q has no route for %q", c.r.Host, c.r.RequestURI)
 	}
 	c.jobID = call.Job
-	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	ctx, cancel := context.WithDeadline(c.ctx, c.deadline)
 	defer cancel()
 	jobs := c.gate.config.Jobs
 	switch call.Kind {
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -9,6 +9,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
+	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhserve"
@@ -16,12 +17,6 @@
 )
 
 const (
-	// acceptAfterStop is how long a stopping gateway still accepts connections:
-	// first two readiness checks, a second apart, have to fail.
-	acceptAfterStop = 3500 * time.Millisecond
-	// stopMargin is what is left of the drain time when requests that still run
-	// are aborted.
-	stopMargin = 700 * time.Millisecond
 	// defaultIdleTimeout applies to readiness checks, and to client requests if no
 	// policy is known or the policy sets no idle timeout.
 	defaultIdleTimeout = 60 * time.Second
@@ -113,15 +108,16 @@
 	}
 }
 
-// stop drains the gate within the drain time and aborts the requests that are
-// left.
+// stop drains the gate within the drain time, which it reads once, and cuts the answers
+// that are left.
 func (s *Server) stop(callers *bhserve.CallerListener) error {
 	started := time.Now()
 	drain := s.config.Drain()
+	plan := bhdrain.NewPlan(drain)
 	bhlog.Event(s.config.Logger, "gate.stopping", "inflight", s.config.Gate.Inflight(), "drain", drain)
-	s.config.Gate.Drain()
-	time.Sleep(min(acceptAfterStop, drain/2))
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(drain-stopMargin))
+	s.config.Gate.Drain(started.Add(plan.Work))
+	time.Sleep(plan.Accept)
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(plan.Close))
 	defer cancel()
 	if !callers.Drain(ctx) {
 		bhlog.Problem(s.config.Logger, "gate.cut", ctx.Err(), "inflight", s.config.Gate.Inflight())
--- /dev/null
+++ b/bhgate/server_test.go
@@ -0,0 +1,238 @@
+package bhgate
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhjob"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhpolicy"
+)
+
+const testDrain = 3200 * time.Millisecond
+
+// stopKinds are the routes of a gate that stops, by the prefix of their paths.
+var stopKinds = map[string]bhpolicy.Route{
+	"/safe/":      {Kind: bhpolicy.Safe, LatencyObjective: time.Second, MaxAttempts: 2},
+	"/unsafe/":    {Kind: bhpolicy.Unsafe, MaxAttempts: 1},
+	"/resumable/": {Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: 2},
+	"/stream/":    {Kind: bhpolicy.Streaming, MaxAttempts: 1},
+	"/batch/":     {Kind: bhpolicy.Batch, MaxAttempts: 1},
+}
+
+// work answers as the request's path says: soon, late, never, or never after a begin.
+func work(w http.ResponseWriter, r *http.Request, _ int) {
+	switch _, how, _ := strings.Cut(strings.Trim(r.URL.Path, "/"), "/"); how {
+	case "late":
+		time.Sleep(300 * time.Millisecond)
+	case "begun":
+		fmt.Fprint(w, "id: 1\ndata: 1\n\n")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	case "never":
+		<-r.Context().Done()
+	}
+	fmt.Fprint(w, "id: 1\ndata: whole\n\n")
+}
+
+// silentJobs never answers a call.
+type silentJobs struct{ fakeJobs }
+
+// Submit implements Jobs.
+func (*silentJobs) Submit(ctx context.Context, _ bhjob.Submission) error {
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+// Results implements Jobs.
+func (*silentJobs) Results(ctx context.Context, _, _ string, _ int) (bhjob.Results, error) {
+	<-ctx.Done()
+	return bhjob.Results{}, ctx.Err()
+}
+
+// testServer is a Server whose gate forwards to an upstream that does work.
+type testServer struct {
+	*testGate
+	upstream *fakeUpstream
+	front    string
+	drain    atomic.Int64
+	// stop begins the stop, and done gets the result of Run.
+	stop context.CancelFunc
+	done chan error
+}
+
+func newTestServer(t *testing.T, drain time.Duration) *testServer {
+	s := &testServer{upstream: newUpstream(t, work), front: freeAddress(t), done: make(chan error, 1)}
+	s.drain.Store(int64(drain))
+	s.testGate = newTestGate(t, bhpolicy.Route{}, s.upstream)
+	s.gate.config.Jobs, s.gate.config.Calls = &silentJobs{}, fakeJobCalls{}
+	policy := &bhpolicy.Policy{Version: 1, Services: []bhpolicy.Service{{Name: "s", Slots: 8}}, Accounts: []bhpolicy.Account{{Name: "zoo", Keys: []string{"k1"}}}}
+	for prefix, route := range stopKinds {
+		route.Name, route.Host, route.Prefix = prefix, "one.example", prefix
+		route.Backends = []bhpolicy.Backend{{Service: "s", Weight: 1}}
+		policy.Routes = append(policy.Routes, route)
+	}
+	s.policies.update(func(p *fakePolicies) { p.view.Index = bhpolicy.NewIndex(policy) })
+	ctx, stop := context.WithCancel(context.Background())
+	s.stop = stop
+	server := NewServer(ServerConfig{
+		Gate: s.gate, Front: s.front, Ready: freeAddress(t), Drain: func() time.Duration { return time.Duration(s.drain.Load()) },
+		Index: func() *bhpolicy.Index { return s.policies.View().Index }, Logger: bhlog.Nop(),
+	})
+	go func() { s.done <- server.Run(ctx) }()
+	t.Cleanup(stop)
+	require.Eventually(t, func() bool {
+		conn, err := net.Dial("tcp", s.front)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err == nil
+	}, 5*time.Second, 10*time.Millisecond)
+	return s
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, listener.Close())
+	return listener.Addr().String()
+}
+
+// ask sends a request on a connection of its own and returns the status and the body, and
+// an error unless the answer is complete.
+func (s *testServer) ask(id, path string, left time.Duration, body io.Reader) (int, string, error) {
+	transport := &http.Transport{DisableKeepAlives: true}
+	request := s.request(path, withID(id), withDeadline(left))
+	request.URL.Host = s.front
+	if body != nil {
+		request.Body, request.ContentLength = io.NopCloser(body), 100
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(data), err
+}
+
+// ran reports whether the upstream got the request with the ID.
+func (s *testServer) ran(id string) bool {
+	s.upstream.mu.Lock()
+	defer s.upstream.mu.Unlock()
+	return slices.ContainsFunc(s.upstream.requests, func(r *http.Request) bool { return r.Header.Get("Request-Id") == id })
+}
+
+// checkAnswer checks what a client got whose request to the path came around a stop.
+func (s *testServer) checkAnswer(id, path string, status int, body string, err error) {
+	begun := strings.HasSuffix(path, "begun") && err != nil
+	switch {
+	case strings.HasSuffix(path, "soon"), strings.HasSuffix(path, "late"):
+		assert.Equal(s.t, []any{http.StatusOK, "id: 1\ndata: whole\n\n", nil}, []any{status, body, err}, id)
+	case begun:
+		assert.Equal(s.t, http.StatusOK, status, "%s: a stream that has begun breaks visibly: %v", id, err)
+		assert.Contains(s.t, path, "stream/", "%s: %v", id, err)
+	default:
+		assert.NoError(s.t, err, id)
+		assert.GreaterOrEqual(s.t, status, 500, id)
+	}
+	if status == http.StatusServiceUnavailable {
+		assert.False(s.t, s.ran(id), "%s: answered 503 and has run", id)
+	}
+}
+
+// Guards against a planned stop at whose end requests are cut off without an answer,
+// however long before it they came.
+func TestStopAnswersWhatItHasRead(t *testing.T) {
+	s := newTestServer(t, testDrain)
+	paths := []string{"/batch/never", "/job/never", "/stream/begun"}
+	for _, kind := range []string{"/safe/", "/unsafe/", "/resumable/", "/stream/"} {
+		paths = append(paths, kind+"soon", kind+"late", kind+"never")
+	}
+	var clients sync.WaitGroup
+	askAll := func(moment string) {
+		for _, path := range paths {
+			clients.Go(func() {
+				left := time.Minute
+				if strings.HasSuffix(path, "soon") || strings.HasSuffix(path, "late") {
+					left = time.Second
+				}
+				status, body, err := s.ask(moment+path, path, left, nil)
+				s.checkAnswer(moment+path, path, status, body, err)
+			})
+		}
+		clients.Go(func() {
+			body, sender := io.Pipe()
+			defer time.AfterFunc(testDrain, func() { _ = sender.Close() }).Stop()
+			go func() { _, _ = sender.Write([]byte("half")) }()
+			status, _, err := s.ask(moment+"body", "/unsafe/body", time.Minute, body)
+			if assert.NoError(t, err, "%s: a body that arrives slowly", moment) {
+				assert.Equal(t, http.StatusServiceUnavailable, status)
+			}
+		})
+	}
+	askAll("before")
+	time.Sleep(100 * time.Millisecond)
+	stopped := time.Now()
+	s.stop()
+	for _, moment := range []time.Duration{50 * time.Millisecond, 700 * time.Millisecond, 1300 * time.Millisecond} {
+		time.Sleep(time.Until(stopped.Add(moment)))
+		askAll(moment.String())
+	}
+	clients.Wait()
+	require.NoError(t, <-s.done)
+	assert.Less(t, time.Since(stopped), testDrain)
+}
+
+// Guards against a stop that hangs or panics because its time is short, its settings change
+// while it runs, or it begins again.
+func TestStopEndsInItsTime(t *testing.T) {
+	for _, drain := range []time.Duration{-time.Second, 0, time.Millisecond, 800 * time.Millisecond} {
+		s := newTestServer(t, drain)
+		answered := make(chan error, 1)
+		go func() {
+			_, _, err := s.ask("r", "/unsafe/never", time.Minute, nil)
+			answered <- err
+		}()
+		require.Eventually(t, func() bool { return s.ran("r") }, 5*time.Second, time.Millisecond)
+		stopped := time.Now()
+		s.stop()
+		time.Sleep(min(drain/4, 100*time.Millisecond))
+		s.drain.Store(int64(time.Millisecond))
+		s.gate.Drain(time.Now()) // has no effect any more
+		if err := <-answered; drain > time.Millisecond {
+			assert.NoError(t, err)
+			assert.Greater(t, time.Since(stopped), drain/2, "a changed drain time shortened a stop that runs")
+		}
+		require.NoError(t, <-s.done)
+		assert.Less(t, time.Since(stopped), max(0, drain)+time.Second)
+	}
+}
+
+// Guards against a stop that waits for an address on which another process still listens.
+func TestStopBeforeTheAddressesAreFree(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = taken.Close() }()
+	g := newTestGate(t, bhpolicy.Route{})
+	ctx, stop := context.WithTimeoutCause(t.Context(), 50*time.Millisecond, errors.New("stopped"))
+	defer stop()
+	server := NewServer(ServerConfig{Gate: g.gate, Front: freeAddress(t), Ready: taken.Addr().String(), Logger: bhlog.Nop()})
+	started := time.Now()
+	require.NoError(t, server.Run(ctx))
+	assert.Less(t, time.Since(started), 2*time.Second)
+}
