Gateway: a request that doesn't fit a stop is refused when it comes

Requests that may not be repeated can't be answered well at the end; they have to go elsewhere while they haven't run.

A gateway now knows how long answered requests of each route took (a histogram of the last 5 to 10 minutes). In a stop it refuses at once, with 503, Retry-After of 50 ms and Connection: close, what by the 99th percentile isn't answered in the time that is left. A caller whose own deadline comes sooner is never refused. Where fewer than 20 requests are known, only one that may not be repeated is refused, by its deadline. The same holds for further attempts. Outside a stop nothing is refused.

With checkStop switched off TestStopTakesOnlyWhatItFinishes and TestStopMakesNoAttemptThatItDoesNotFinish fail: 200 instead of 503, sent on.

TestReloadCutsOffNoRequest shows that SIGHUP cuts no request, and that a shorter drain time doesn't shorten a stop that runs; it passes without a change.

--- a/bhdrain/inflight.go
+++ b/bhdrain/inflight.go
@@ -1,5 +1,6 @@
-// Package bhdrain counts requests and streams in flight, so that a graceful
-// shutdown can wait until they have ended. Packages bhentry, bhgate and bhsidecar use it.
+// Package bhdrain holds what graceful shutdowns decide by: the requests in flight, the
+// timetable, and whether a request that arrives meanwhile can be finished. Packages bhentry,
+// bhgate and bhsidecar use it.
 package bhdrain
 
 import (
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -12,6 +12,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
+	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -135,9 +136,15 @@
 	if c.route == nil {
 		return c.serveJobCall()
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	if err := c.readBody(); err != nil {
 		return err
 	}
+	if err := c.checkStop(); err != nil {
+		return err
+	}
 	if c.route.Kind == bhpolicy.Batch {
 		return c.submit()
 	}
@@ -170,6 +177,26 @@
 	return bhcode.New(bhcode.Leaving, "the gateway stops before the request could be answered").WithRetryAfter(staleRetryAfter)
 }
 
+// checkStop returns the error leaving if the gate stops before the call is expected to be
+// answered.
+func (c *call) checkStop() error {
+	if !c.gate.isDraining() {
+		return nil
+	}
+	request := bhdrain.Request{Left: time.Until(c.gate.end), Deadline: time.Until(c.deadline), Repeatable: c.route.Repeatable() || c.route.Kind == bhpolicy.Batch}
+	if c.gate.durations.Fits(c.route.Name, request) {
+		return nil
+	}
+	return c.leaving()
+}
+
+// observeDuration adds how long the call took if an upstream answered it.
+func (c *call) observeDuration(err error) {
+	if err == nil && c.sends > 0 && c.status < http.StatusInternalServerError {
+		c.gate.durations.Observe(c.route.Name, time.Since(c.arrived))
+	}
+}
+
 // workUntil returns until when upstreams may work on the call: its deadline, or the end of
 // the gate's drain if that is sooner.
 func (c *call) workUntil() time.Time {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -78,6 +78,10 @@
 		if err := c.refreshView(&service); err != nil {
 			return c.finalError(ctx, lastErr, err)
 		}
+		if err := c.checkStop(); err != nil {
+			lastErr = preferMayHaveRun(lastErr, err)
+			break
+		}
 		if err := c.admitContent(ctx); err != nil {
 			lastErr = preferMayHaveRun(lastErr, err)
 			break
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -105,6 +105,8 @@
 	times    *serviceTimes
 	weights  accountWeights
 	inflight bhdrain.Inflight
+	// durations are those of answered requests, by route.
+	durations bhdrain.Durations[string]
 
 	drain sync.Once
 	// draining is closed by Drain, which sets end before.
@@ -205,5 +207,7 @@
 	c := newCall(g, w, r)
 	defer c.cancel()
 	defer c.recover()
-	c.finish(c.endAnswer(c.serve()))
+	err := c.endAnswer(c.serve())
+	c.observeDuration(err)
+	c.finish(err)
 }
--- a/bhgate/server_test.go
+++ b/bhgate/server_test.go
@@ -7,16 +7,21 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/baobabhaven/baobabhaven/bhhost"
 	"github.com/baobabhaven/baobabhaven/bhjob"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
@@ -68,15 +73,13 @@
 	*testGate
 	upstream *fakeUpstream
 	front    string
-	drain    atomic.Int64
 	// stop begins the stop, and done gets the result of Run.
 	stop context.CancelFunc
 	done chan error
 }
 
-func newTestServer(t *testing.T, drain time.Duration) *testServer {
+func newTestServer(t *testing.T, drain func() time.Duration) *testServer {
 	s := &testServer{upstream: newUpstream(t, work), front: freeAddress(t), done: make(chan error, 1)}
-	s.drain.Store(int64(drain))
 	s.testGate = newTestGate(t, bhpolicy.Route{}, s.upstream)
 	s.gate.config.Jobs, s.gate.config.Calls = &silentJobs{}, fakeJobCalls{}
 	policy := &bhpolicy.Policy{Version: 1, Services: []bhpolicy.Service{{Name: "s", Slots: 8}}, Accounts: []bhpolicy.Account{{Name: "zoo", Keys: []string{"k1"}}}}
@@ -89,7 +92,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	server := NewServer(ServerConfig{
-		Gate: s.gate, Front: s.front, Ready: freeAddress(t), Drain: func() time.Duration { return time.Duration(s.drain.Load()) },
+		Gate: s.gate, Front: s.front, Ready: freeAddress(t), Drain: drain,
 		Index: func() *bhpolicy.Index { return s.policies.View().Index }, Logger: bhlog.Nop(),
 	})
 	go func() { s.done <- server.Run(ctx) }()
@@ -137,6 +140,18 @@
 	return slices.ContainsFunc(s.upstream.requests, func(r *http.Request) bool { return r.Header.Get("Request-Id") == id })
 }
 
+// askUntilRun sends a request and returns once it runs, with the error that its caller will see.
+func (s *testServer) askUntilRun(path string) <-chan error {
+	id := path + strconv.Itoa(s.upstream.count())
+	answered := make(chan error, 1)
+	go func() {
+		_, _, err := s.ask(id, path, time.Minute, nil)
+		answered <- err
+	}()
+	require.Eventually(s.t, func() bool { return s.ran(id) }, 5*time.Second, time.Millisecond)
+	return answered
+}
+
 // checkAnswer checks what a client got whose request to the path came around a stop.
 func (s *testServer) checkAnswer(id, path string, status int, body string, err error) {
 	begun := strings.HasSuffix(path, "begun") && err != nil
@@ -158,7 +173,7 @@
 // Guards against a planned stop at whose end requests are cut off without an answer,
 // however long before it they came.
 func TestStopAnswersWhatItHasRead(t *testing.T) {
-	s := newTestServer(t, testDrain)
+	s := newTestServer(t, func() time.Duration { return testDrain })
 	paths := []string{"/batch/never", "/job/never", "/stream/begun"}
 	for _, kind := range []string{"/safe/", "/unsafe/", "/resumable/", "/stream/"} {
 		paths = append(paths, kind+"soon", kind+"late", kind+"never")
@@ -198,31 +213,54 @@
 	assert.Less(t, time.Since(stopped), testDrain)
 }
 
-// Guards against a stop that hangs or panics because its time is short, its settings change
-// while it runs, or it begins again.
+// Guards against a stop that hangs or panics because its time is short or it begins again.
 func TestStopEndsInItsTime(t *testing.T) {
 	for _, drain := range []time.Duration{-time.Second, 0, time.Millisecond, 800 * time.Millisecond} {
-		s := newTestServer(t, drain)
-		answered := make(chan error, 1)
-		go func() {
-			_, _, err := s.ask("r", "/unsafe/never", time.Minute, nil)
-			answered <- err
-		}()
-		require.Eventually(t, func() bool { return s.ran("r") }, 5*time.Second, time.Millisecond)
+		s := newTestServer(t, func() time.Duration { return drain })
+		answered := s.askUntilRun("/unsafe/never")
 		stopped := time.Now()
 		s.stop()
-		time.Sleep(min(drain/4, 100*time.Millisecond))
-		s.drain.Store(int64(time.Millisecond))
-		s.gate.Drain(time.Now()) // has no effect any more
+		s.gate.Drain(time.Now().Add(drain / 2)) // whichever comes first counts
 		if err := <-answered; drain > time.Millisecond {
 			assert.NoError(t, err)
-			assert.Greater(t, time.Since(stopped), drain/2, "a changed drain time shortened a stop that runs")
 		}
 		require.NoError(t, <-s.done)
 		assert.Less(t, time.Since(stopped), max(0, drain)+time.Second)
 	}
 }
 
+// Guards against settings whose reload cuts off requests, or shortens a stop that runs.
+func TestReloadCutsOffNoRequest(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "settings")
+	write := func(drain time.Duration) { require.NoError(t, os.WriteFile(path, []byte(drain.String()), 0o600)) }
+	write(testDrain)
+	file, err := bhhost.Open(path, func(data []byte) (bhhost.Settings, error) {
+		drain, err := time.ParseDuration(string(data))
+		return bhhost.Settings{Host: "h", Platform: "127.0.0.1:1", Revocation: time.Second, Drain: drain}, err
+	})
+	require.NoError(t, err)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	go func() { _ = file.Run(t.Context(), reload, bhlog.Nop()) }()
+	hangUp := func(drain time.Duration) {
+		write(drain)
+		require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		require.Eventually(t, func() bool { return file.Current().Drain == drain }, 5*time.Second, time.Millisecond)
+	}
+
+	s := newTestServer(t, func() time.Duration { return file.Current().Drain })
+	late := s.askUntilRun("/unsafe/late")
+	hangUp(testDrain / 2)
+	require.NoError(t, <-late)
+	late = s.askUntilRun("/unsafe/late")
+	s.stop()
+	require.Eventually(t, s.gate.isDraining, 5*time.Second, time.Millisecond)
+	hangUp(time.Millisecond)
+	require.NoError(t, <-late)
+	require.NoError(t, <-s.done)
+}
+
 // Guards against a stop that waits for an address on which another process still listens.
 func TestStopBeforeTheAddressesAreFree(t *testing.T) {
 	taken, err := net.Listen("tcp", "127.0.0.1:0")
@@ -236,3 +274,59 @@
 	require.NoError(t, server.Run(ctx))
 	assert.Less(t, time.Since(started), 2*time.Second)
 }
+
+// Guards against a gateway that stops and takes requests that it can't finish, or refuses
+// others.
+func TestStopTakesOnlyWhatItFinishes(t *testing.T) {
+	quick, slow := 10*time.Millisecond, time.Minute
+	for _, c := range []struct {
+		name  string
+		kind  bhpolicy.Kind
+		usual time.Duration
+		want  int
+	}{
+		{"nothing is known", bhpolicy.Unsafe, 0, http.StatusServiceUnavailable},
+		{"nothing is known, may be repeated", bhpolicy.Safe, 0, http.StatusOK},
+		{"quick", bhpolicy.Unsafe, quick, http.StatusOK},
+		{"slow", bhpolicy.Unsafe, slow, http.StatusServiceUnavailable},
+		{"slow, may be repeated", bhpolicy.Safe, slow, http.StatusServiceUnavailable},
+	} {
+		u := newUpstream(t, answerOK)
+		g := newTestGate(t, bhpolicy.Route{Kind: c.kind, MaxAttempts: 2}, u)
+		for range 30 {
+			if c.usual > 0 {
+				g.gate.durations.Observe("main", c.usual)
+			}
+		}
+		assert.Equal(t, http.StatusOK, g.status(g.request("/a/x")), "%s: before a stop", c.name)
+		g.gate.Drain(time.Now().Add(2 * time.Second))
+		response, _, err := g.do(g.request("/a/x"))
+		require.NoError(t, err)
+		assert.Equal(t, c.want, response.StatusCode, c.name)
+		assert.True(t, response.Close)
+		if c.want == http.StatusServiceUnavailable {
+			assert.Equal(t, 1, u.count(), "%s: refused and sent", c.name)
+			assert.Equal(t, "0.050", response.Header.Get("Retry-After"), "another gateway takes it")
+		}
+	}
+}
+
+// Guards against a further attempt in a stop that can't be finished.
+func TestStopMakesNoAttemptThatItDoesNotFinish(t *testing.T) {
+	full := newUpstream(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		time.Sleep(300 * time.Millisecond)
+		w.Header().Set("Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	other := newUpstream(t, answerOK)
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe, MaxAttempts: 2}, full, other)
+	for range 30 {
+		g.gate.durations.Observe("main", 400*time.Millisecond)
+	}
+	g.gate.Drain(time.Now().Add(600 * time.Millisecond))
+	assert.Equal(t, http.StatusServiceUnavailable, g.status(g.request("/a/x")))
+	assert.Zero(t, other.count())
+	left, err := strconv.Atoi(full.last().Header.Get("Deadline"))
+	require.NoError(t, err)
+	assert.LessOrEqual(t, left, 600, "the time that is handed on ends with the gate's")
+}
