Soak: engines end answers inside their head

No client may get status 200 from it, and no job may list an item as completed, if the answers to all runs ended so; an answer of another run has to be whole, as before. It happens by turns during the faults, and for 1.2 s after them, when connections rest and are reused.

Engines that name a limit spoil no items, as those that fail items; that rule now stands in draws.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -34,15 +34,18 @@
 	}}
 }
 
-// live sends live requests at a rate until ctx is done. Open connections are
+// livePaths has a path of each kind of route for live requests.
+var livePaths = []string{"/safe/a//b?x=%2F", "/unsafe/x", "/stream/x", "/resume/x"}
+
+// live sends live requests for the paths at a rate until ctx is done. Open connections are
 // used until their gateway is gone.
-func (c *client) live(ctx context.Context, tenant string, rate float64) {
+func (c *client) live(ctx context.Context, tenant string, rate float64, paths ...string) {
 	var group sync.WaitGroup
 	defer group.Wait()
 	for ctx.Err() == nil {
 		c.number++
 		id := fmt.Sprintf("%s-%d", c.name, c.number)
-		path := []string{"/safe/a//b?x=%2F", "/unsafe/x", "/stream/x", "/resume/x"}[c.random.IntN(4)]
+		path := paths[c.random.IntN(len(paths))]
 		gateway := c.world.gateway(c.random)
 		group.Go(func() { c.request(id, tenant, gateway, path) })
 		select {
@@ -85,9 +88,12 @@
 // checkSuccess checks an answer with status 200, which may have broken off.
 func (c *client) checkSuccess(id, path string, header http.Header, answer string, whole bool) {
 	record := c.world.record
+	if record.hadOnlyCutHeads(id) {
+		record.broken("request %s got status 200 and %q, but no engine wrote a whole head: %s", id, answer, record.odditiesOf(id))
+	}
 	if !whole {
 		if fault := checkEvents(id, answer); isStream(path) && fault != "" {
-			record.broken("stream %s broke off wrongly: %s", id, fault)
+			record.broken("stream %s broke off wrongly: %s %s", id, fault, record.odditiesOf(id))
 		}
 		return
 	}
@@ -96,7 +102,7 @@
 		right = wholeStream(id, answer, liveEvents)
 	}
 	if !right || header.Get("X-Response-Signature") != signature(id) {
-		record.broken("request %s got another answer: %q", id, answer)
+		record.broken("request %s got another answer: %q %s", id, answer, record.odditiesOf(id))
 	}
 	record.serve()
 }
@@ -297,7 +303,7 @@
 		c.world.record.broken("job %s lists item %s", id, got.ID)
 	case doomed && !dead, dead && !c.world.record.mayBeDead(got.ID, a.body):
 		c.world.record.broken("item %s with body %q is %s", got.ID, a.body, got.State)
-	case !dead && !wholeText(got.ID, got.Text, itemEvents):
-		c.world.record.broken("item %s has the text %q", got.ID, got.Text)
+	case !dead && (!wholeText(got.ID, got.Text, itemEvents) || c.world.record.hadOnlyCutHeads(got.ID)):
+		c.world.record.broken("item %s has the text %q %s", got.ID, got.Text, c.world.record.odditiesOf(got.ID))
 	}
 }
--- a/soak/disrupt_test.go
+++ b/soak/disrupt_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,10 +34,18 @@
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
+// connection counts the requests that arrived on it.
+type connection struct {
+	net.Conn
+	requests atomic.Int32
+}
+
 func withConnection(ctx context.Context, conn net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(ctx, connKey{}, &connection{Conn: conn})
 }
 
+func connectionOf(r *http.Request) *connection { return r.Context().Value(connKey{}).(*connection) }
+
 // disrupt brings about what the other faults lack until ctx is done: an engine that is lost
 // for good, a route below another one, engines that fail items or answer twice, and odd
 // entries in the list of engines.
@@ -139,13 +148,9 @@
 	require.NoError(w.t, w.store.store.Force(key, []byte(record)))
 }
 
-// failsItem reports whether the engine fails the request, an item of a job. An engine that
-// names a limit fails none: gateways don't reach the runner here, which all have one address,
-// so that the limit holds only while few items are sent again.
+// failsItem reports whether the engine fails the request, an item of a job.
 func (e *engine) failsItem(r *http.Request) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return strings.HasPrefix(r.URL.Path, "/jobs/") && e.limit <= 0 && rand.Float64() < e.gray
+	return strings.HasPrefix(r.URL.Path, "/jobs/") && e.draws(r, func(e *engine) float64 { return e.gray })
 }
 
 // write answers with the status and the body.
@@ -158,7 +163,7 @@
 // stutter has a stuttering engine write its answer a second time, once another request has
 // arrived on the connection.
 func (e *engine) stutter(w http.ResponseWriter, r *http.Request, status int, body string) {
-	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	conn := connectionOf(r)
 	var again strings.Builder
 	fmt.Fprintf(&again, "HTTP/1.1 %d Again\r\nContent-Length: %d\r\n", status, len(body))
 	_ = w.Header().Write(&again)
@@ -173,7 +178,7 @@
 // repeat writes the answer to an earlier request on the connection once more, if one waits
 // for that.
 func (e *engine) repeat(r *http.Request) {
-	conn, _ := r.Context().Value(connKey{}).(net.Conn)
+	conn := connectionOf(r)
 	e.mu.Lock()
 	again := e.again[conn]
 	delete(e.again, conn)
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -57,6 +57,8 @@
 	gray     float64
 	stutters bool
 	again    map[net.Conn]string
+	// cutting is the share of the answers on new connections that end inside their head.
+	cutting float64
 }
 
 func newEngine(t *testing.T, id, version string, record *recorder) *engine {
@@ -79,6 +81,7 @@
 		return
 	}
 	e.repeat(r)
+	connectionOf(r).requests.Add(1)
 	start, leaving := e.start()
 	w.Header().Set(startHeader, start)
 	e.nameLimit(w, r, start)
@@ -140,6 +143,10 @@
 }
 
 func (e *engine) answer(w http.ResponseWriter, r *http.Request, id, body string) {
+	if e.cuts(r) {
+		e.cutHead(w, r, id)
+		return
+	}
 	switch {
 	case strings.HasPrefix(body, "poison"):
 		e.write(w, r, http.StatusUnprocessableEntity, "")
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -70,6 +70,11 @@
 	repeated int
 	// streams counts what became of streams that may be resumed.
 	streams counts
+	// oddities tells, by request or item, how engines spoiled its answers. cuts counts the
+	// answers that ended inside their head, cutsReused those on reused connections.
+	oddities   map[string][]string
+	cuts       map[string]int
+	cutsReused int
 }
 
 func newRecorder() *recorder {
@@ -77,8 +82,8 @@
 		attempts: make(map[string]*attempt), runs: make(map[string][]run),
 		revoked: make(map[string]time.Time), ended: make(map[string]time.Time), left: make(map[[2]string]time.Time),
 		crashes: make(map[string]*lethalRecord), disturbed: make(map[string][]span),
-		failures: make(map[string]int),
-		limits:   make(map[string]*limitRecord), interrupted: make(map[string][]span),
+		failures: make(map[string]int), oddities: make(map[string][]string), cuts: make(map[string]int),
+		limits: make(map[string]*limitRecord), interrupted: make(map[string][]span),
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -182,8 +182,8 @@
 	for _, fault := range w.record.finish(rates) {
 		t.Errorf("seed %d: %s", seed, fault)
 	}
-	t.Logf("seed %d: %d of %d requests served, %d jobs accepted, streams %+v, %d items failed, %d answers repeated",
-		seed, w.record.served, w.record.total, w.accepted, w.record.streams, len(w.record.failures), w.record.repeated)
+	t.Logf("seed %d: %d of %d requests served, %d jobs accepted, streams %+v, %d items failed, %d answers repeated, %s",
+		seed, w.record.served, w.record.total, w.accepted, w.record.streams, len(w.record.failures), w.record.repeated, w.record.countCuts())
 	assert.Greater(t, w.record.served, w.record.total/5, "seed %d", seed)
 	assert.Positive(t, w.accepted, "seed %d", seed)
 }
@@ -197,7 +197,7 @@
 	var clients, jobs sync.WaitGroup
 	for i, tenant := range []string{"zoo", "zoo", "small"} {
 		c := newClient(w, fmt.Sprintf("c%d", i), seed*10+uint64(i))
-		clients.Go(func() { c.live(ctx, tenant, 25) })
+		clients.Go(func() { c.live(ctx, tenant, 25, livePaths...) })
 	}
 	for i := range 6 {
 		c := newClient(w, fmt.Sprintf("b%d", i), seed*10+5+uint64(i))
@@ -222,9 +222,11 @@
 	jobs.Go(func() { prompts.sendLethalPrompts(lethal, "zoo") })
 	jobs.Go(func() { w.evacuate(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	jobs.Go(func() { w.disrupt(ctx, rand.New(rand.NewPCG(seed, 4))) })
+	jobs.Go(func() { w.spoil(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
 	clients.Wait()
 	w.calm()
+	jobs.Go(func() { w.spoilInCalm(all, seed) })
 	w.recover(seed)
 	w.checkPrompts(all)
 	stopLethal()
@@ -240,7 +242,7 @@
 	w.record.mu.Lock()
 	served, total := w.record.served, w.record.total
 	w.record.mu.Unlock()
-	newClient(w, "after", seed).live(ctx, "zoo", 20)
+	newClient(w, "after", seed).live(ctx, "zoo", 20, livePaths...)
 	w.record.mu.Lock()
 	served, total = w.record.served-served, w.record.total-total
 	w.record.mu.Unlock()
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -210,12 +210,12 @@
 		got += answer
 		if whole {
 			if !wholeStream(id, got, liveEvents) {
-				record.broken("stream %s taken up after %d events got another answer: %q", id, last, got)
+				record.broken("stream %s taken up after %d events got another answer: %q %s", id, last, got, record.odditiesOf(again))
 			}
 			return
 		}
 		if fault := checkEvents(id, got); fault != "" {
-			record.broken("stream %s taken up after %d events: %s", id, last, fault)
+			record.broken("stream %s taken up after %d events: %s %s", id, last, fault, record.odditiesOf(again))
 			return
 		}
 	}
@@ -236,7 +236,7 @@
 	var clients sync.WaitGroup
 	for i := range 2 {
 		c := newClient(w, fmt.Sprint("c", i), uint64(i))
-		clients.Go(func() { c.live(ctx, "zoo", 50) })
+		clients.Go(func() { c.live(ctx, "zoo", 50, livePaths...) })
 	}
 	for range 2 {
 		pause(ctx, runTime/3)
