Soak: engines answer with an error instead of going on with a stream

The checks are the present ones: what a client has joined holds each event once and in order and is whole if it ends so, and so is an item's text.

Left out: an empty stream whose type may be that of a stream and whose end is marked. The stream that broke off may have had all events, so nobody can tell it from the end.

--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -59,6 +59,9 @@
 	again    map[net.Conn]string
 	// cutting is the share of the answers on new connections that end inside their head.
 	cutting float64
+	// unwilling is the share of the streams that the engine answers with an error instead
+	// of going on with them. It breaks off half that share.
+	unwilling float64
 }
 
 func newEngine(t *testing.T, id, version string, record *recorder) *engine {
@@ -163,9 +166,9 @@
 		}
 		e.write(w, r, http.StatusOK, plainAnswer(id))
 	case strings.HasPrefix(r.URL.Path, "/jobs/"):
-		e.stream(w, r, itemEvents, e.drawSabotage())
+		e.stream(w, r, itemEvents, e.drawSabotage(r))
 	default:
-		e.stream(w, r, liveEvents, e.drawSabotage())
+		e.stream(w, r, liveEvents, e.drawSabotage(r))
 	}
 }
 
--- a/soak/head_test.go
+++ b/soak/head_test.go
@@ -21,21 +21,27 @@
 	calmSpoilTime = 1200 * time.Millisecond
 )
 
-// spoil has one engine after another write cut heads until ctx is done.
+// spoil has one engine write cut heads, or all of them break off streams and refuse to go on
+// with them, by turns until ctx is done.
 func (w *world) spoil(ctx context.Context, random *rand.Rand) {
 	for ctx.Err() == nil {
-		e := w.engines[random.IntN(len(w.engines))]
-		e.set(func(e *engine) { e.cutting = cutShare })
+		spoilers, spoil := w.engines, func(e *engine) { e.unwilling = unwillingShare }
+		if random.IntN(2) == 0 {
+			i := random.IntN(len(w.engines))
+			spoilers, spoil = w.engines[i:i+1], func(e *engine) { e.cutting = cutShare }
+		}
+		setAll(spoilers, spoil)
 		pause(ctx, time.Duration(300+random.IntN(1500))*time.Millisecond)
-		e.set(func(e *engine) { e.cutting = 0 })
+		setAll(spoilers, func(e *engine) { e.cutting, e.unwilling = 0, 0 })
 	}
 }
 
 // spoilInCalm has all engines spoil their answers, and nothing else go wrong: connections rest
-// and are reused.
+// and are reused, and gateways find an engine to go on with a stream.
 func (w *world) spoilInCalm(ctx context.Context, seed uint64) {
 	pause(ctx, crashTime)
 	w.spoilAll(ctx, seed, func(e *engine) { e.cutting = cutShare }, livePaths...)
+	w.spoilAll(ctx, seed+1, func(e *engine) { e.unwilling = unwillingShare }, "/resume/x")
 }
 
 // spoilAll has all engines spoil their answers while a client sends requests for the paths.
@@ -44,7 +50,7 @@
 	defer cancel()
 	setAll(w.engines, spoil)
 	newClient(w, fmt.Sprint("spoiled", seed), seed).live(ctx, "zoo", 60, paths...)
-	setAll(w.engines, func(e *engine) { e.cutting = 0 })
+	setAll(w.engines, func(e *engine) { e.cutting, e.unwilling = 0, 0 })
 }
 
 func setAll(engines []*engine, change func(e *engine)) {
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -39,10 +39,11 @@
 )
 
 // drawSabotage returns what the engine does to the next stream.
-func (e *engine) drawSabotage() sabotage {
+func (e *engine) drawSabotage(r *http.Request) sabotage {
+	breaks := e.breaksResumable(r)
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if rand.Float64() >= e.sabotaged {
+	if !breaks && rand.Float64() >= e.sabotaged {
 		return none
 	}
 	return []sabotage{resets, closes, finishes, babbles}[rand.IntN(4)]
@@ -61,6 +62,10 @@
 	if err != nil {
 		after = 0
 	}
+	if e.unwillingTo(r) {
+		e.refuseTakeUp(w, r)
+		return
+	}
 	id := r.Header.Get("Resumes")
 	if id == "" {
 		id = r.Header.Get("X-Request-Id")
@@ -178,6 +183,8 @@
 // counts are those of streams that may be resumed.
 type counts struct {
 	begun, broken, takenUp, wentOn, refused int
+	// These count the refusals to go on with a stream by whom they met.
+	errorsToClients, errorsToGateways, errorsToRunners int
 }
 
 func (r *recorder) count(change func(c *counts)) {
