Soak: a gateway stops in calm while requests come until it is gone

A request that was written whole gets a complete answer, or a break that can be seen if it is a stream that had begun. A connection may end without an answer only if no engine ran the request and it ends within 0.5 s of the request. 429, 503, 408 and 421 only if no engine ran it, before or after, as everywhere. The gateway has to end in time.

--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -133,10 +133,25 @@
 func (c *client) do(method, gateway, path, id, key, body string, header ...string) (int, http.Header, string, bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(body))
+	request, err := newRequest(ctx, method, gateway, path, id, key, body, header...)
+	if err != nil {
+		return 0, nil, "", false
+	}
+	response, err := c.http.Do(request)
 	if err != nil {
 		return 0, nil, "", false
 	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	return response.StatusCode, response.Header, string(data), err == nil
+}
+
+// newRequest returns a request that the client's transport sends once at most.
+func newRequest(ctx context.Context, method, gateway, path, id, key, body string, header ...string) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+gateway+path, strings.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
 	request.GetBody = nil
 	request.Host = "svc.example"
 	request.Header.Set("X-Request-Id", id)
@@ -146,13 +161,7 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		request.Header.Set(header[i], header[i+1])
 	}
-	response, err := c.http.Do(request)
-	if err != nil {
-		return 0, nil, "", false
-	}
-	defer response.Body.Close()
-	data, err := io.ReadAll(response.Body)
-	return response.StatusCode, response.Header, string(data), err == nil
+	return request, nil
 }
 
 // result is one result of a job on the wire.
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -160,6 +160,7 @@
 		e.write(w, r, http.StatusInternalServerError, "")
 	case strings.HasPrefix(r.URL.Path, "/safe/"), strings.HasPrefix(r.URL.Path, "/unsafe/"):
 		time.Sleep(plainTime)
+		pause(r.Context(), headerTime(r, waitHeader))
 		if malforms(id) {
 			e.writeMalformed(w, plainAnswer(id))
 			return
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -75,6 +75,8 @@
 	oddities   map[string][]string
 	cuts       map[string]int
 	cutsReused int
+	// late holds the requests to a gateway that stops in calm.
+	late []*lateRequest
 }
 
 func newRecorder() *recorder {
@@ -209,6 +211,7 @@
 	r.faults = append(r.faults, r.checkCrashes()...)
 	r.faults = append(r.faults, r.checkLimits()...)
 	r.faults = append(r.faults, r.checkEvacuations()...)
+	r.faults = append(r.faults, r.checkLate()...)
 	for tenant, rate := range rates {
 		most, bound := r.busiest(tenant), (rate*quotaWindow.Seconds()+rate)*(1+quotaOver)+quotaSlack
 		if float64(most) > bound {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -182,8 +182,8 @@
 	for _, fault := range w.record.finish(rates) {
 		t.Errorf("seed %d: %s", seed, fault)
 	}
-	t.Logf("seed %d: %d of %d requests served, %d jobs accepted, streams %+v, %d items failed, %d answers repeated, %s",
-		seed, w.record.served, w.record.total, w.accepted, w.record.streams, len(w.record.failures), w.record.repeated, w.record.countCuts())
+	t.Logf("seed %d: %d of %d requests served, %d jobs accepted, streams %+v, %d items failed, %d answers repeated, %s, %s",
+		seed, w.record.served, w.record.total, w.accepted, w.record.streams, len(w.record.failures), w.record.repeated, w.record.countCuts(), w.record.countLate())
 	assert.Greater(t, w.record.served, w.record.total/5, "seed %d", seed)
 	assert.Positive(t, w.accepted, "seed %d", seed)
 }
@@ -226,7 +226,10 @@
 	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
 	clients.Wait()
 	w.calm()
-	jobs.Go(func() { w.spoilInCalm(all, seed) })
+	jobs.Go(func() {
+		w.spoilInCalm(all, seed)
+		w.stopInCalm(rand.New(rand.NewPCG(seed, 6)))
+	})
 	w.recover(seed)
 	w.checkPrompts(all)
 	stopLethal()
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -74,6 +74,8 @@
 	if how != none && after < events {
 		last = after + rand.IntN(events-after)
 	}
+	pause(r.Context(), headerTime(r, waitHeader))
+	gap := max(eventGap, headerTime(r, gapHeader))
 	w.Header().Set("Content-Type", "text/event-stream")
 	write, closeOutput := flushed(w), func() {}
 	if how == closes {
@@ -85,7 +87,7 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(eventGap):
+		case <-time.After(gap):
 		}
 		body.WriteString(event(id, i, e.version))
 		if write(event(id, i, e.version)) != nil {
