Entry: a small answer is relayed once it is whole

Cause: the entry sent the caller the head as soon as the upstream's head arrived; from then on the request couldn't be tried elsewhere, although it may be repeated and nothing of its body had come.

Answers that declare a length of 64 KiB at most are held back until they are whole, as gateways do. Streams of events and answers without a length aren't.

TestSmallAnswerThatBreaksOffIsTriedElsewhere failed before with "unexpected EOF". TestAnswerOfUnknownLengthIsNotHeldBack passed before, too.

--- a/bhentry/plain.go
+++ b/bhentry/plain.go
@@ -1,8 +1,10 @@
 package bhentry
 
 import (
+	"bytes"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -90,16 +92,39 @@
 	}
 }
 
-// passthroughSink forwards the response to the caller as it arrives.
+// maxHeldBytes is the largest declared length of an answer that is held back until it is
+// complete, so that another attempt may follow one that broke off.
+const maxHeldBytes = 64 << 10
+
+// passthroughSink forwards the response to the caller as it arrives, or once it is complete if
+// it declares that it is small.
 type passthroughSink struct {
 	c echo.Context
 	// body is the request body.
 	body []byte
+	// head and held are the response so far while it is held back; head is nil otherwise.
+	head *bhwire.Head
+	held bytes.Buffer
 }
 
-func (s *passthroughSink) beginAttempt() ([]byte, error) { return s.body, nil }
+func (s *passthroughSink) beginAttempt() ([]byte, error) {
+	s.head = nil
+	s.held.Reset()
+	return s.body, nil
+}
 
 func (s *passthroughSink) writeHead(head bhwire.Head) error {
+	length, err := strconv.ParseInt(head.Header.Get(echo.HeaderContentLength), 10, 64)
+	if err == nil && length <= maxHeldBytes {
+		s.head = &head
+		return nil
+	}
+	s.commit(head)
+	return nil
+}
+
+// commit writes the head of the response to the caller.
+func (s *passthroughSink) commit(head bhwire.Head) {
 	header := s.c.Response().Header()
 	for name, values := range head.Header {
 		if !slices.Contains(hopByHopHeaders, name) {
@@ -107,10 +132,13 @@
 		}
 	}
 	s.c.Response().WriteHeader(head.Status)
-	return nil
 }
 
 func (s *passthroughSink) writeData(data []byte) error {
+	if s.head != nil {
+		s.held.Write(data)
+		return nil
+	}
 	if _, err := s.c.Response().Write(data); err != nil {
 		return bhcode.Wrap(err, bhcode.Cancelled, "the caller left").WithRan(bhcode.RanYes)
 	}
@@ -123,6 +151,13 @@
 	}
 }
 
-func (s *passthroughSink) finish() error { return nil }
+func (s *passthroughSink) finish() error {
+	if s.head == nil {
+		return nil
+	}
+	s.commit(*s.head)
+	s.head = nil
+	return s.writeData(s.held.Bytes())
+}
 
 func (s *passthroughSink) resumable() bool { return !s.c.Response().Committed }
