Entry: a request that a stop ended isn't answered like one that didn't run

Callers of a request that may have run got 503, "leaving" and Retry-After, whose text in docs/CODES.md says to send again at once; only "ran" told that a request that may not be repeated had perhaps run. They get 504, "run_timeout", now, which says to look at "ran". The two tests of stops asked for 503 and failed with 504 before they were changed; what didn't run still gets 503.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -98,6 +98,10 @@
 // aborts the connection so that the caller can't mistake it for a complete one.
 func (e *Entry) respondError(err error, c echo.Context) {
 	failure := toCodeError(err)
+	if failure.Code == bhcode.Leaving && failure.Ran != bhcode.RanNo {
+		// A 503 with Retry-After would have the caller repeat what may have run.
+		failure = bhcode.Wrap(err, bhcode.RunTimeout, "the host stops before the request ended").WithRan(failure.Ran)
+	}
 	bhlog.Trace(e.logger, "request.failed", "id", requestID(c), "code", int(failure.Code), "ran", failure.Ran, "err", err)
 	if c.Response().Committed {
 		e.abortResponse(c, failure)
