Sidecar: a request without a body is sent without one, however busy the machine is

Cause: a GET without a body has a reader that isn't nil, so that http.Transport doesn't send it again by itself. The transport reads such a body for 200 ms at most, and if its end hasn't come by then, announces chunks. The service answers and closes with the last chunk unread, which resets the connection.

--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -141,6 +141,11 @@
 	}
 	request.GetBody = nil
 	request.ContentLength = int64(len(submit.Body))
+	if len(submit.Body) == 0 {
+		// http.Transport reads the body of requestBody for 200 ms at most to see whether it is
+		// empty, and then announces chunks.
+		request.TransferEncoding = []string{"identity"}
+	}
 	if submit.Header != nil {
 		request.Header = submit.Header.Clone()
 	}
--- a/bhsidecar/upstream_test.go
+++ b/bhsidecar/upstream_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
@@ -90,3 +91,33 @@
 		require.NoError(t, send(), "the limit has ended")
 	}
 }
+
+// lateBody is an empty body whose end comes late, as on a busy machine.
+type lateBody struct{}
+
+// Read implements io.Reader.
+func (lateBody) Read([]byte) (int, error) {
+	time.Sleep(300 * time.Millisecond)
+	return 0, io.EOF
+}
+
+// Guards against a request without a body that is sent in chunks while the machine is busy: a service
+// that answers and closes without reading them resets its answer.
+func TestRequestWithoutBodyIsNotSentInChunks(t *testing.T) {
+	heads := make(chan *http.Request, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { heads <- r }))
+	defer server.Close()
+	u := newUpstream(bhconf.Upstream{Name: "u", Address: server.Listener.Addr().String(), Slots: 1}, func(string) float64 { return 1 })
+	defer u.close()
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions} {
+		request, err := u.newRequest(t.Context(), bhwire.Submit{Method: method, Path: "/x", Idempotent: true})
+		require.NoError(t, err)
+		request.Body = io.NopCloser(lateBody{})
+		response, err := u.keepAlive.RoundTrip(request)
+		require.NoError(t, err)
+		require.NoError(t, response.Body.Close())
+		got := <-heads
+		assert.Empty(t, got.TransferEncoding, method)
+		assert.Zero(t, got.ContentLength, method)
+	}
+}
