Tests of the entry: a service that closes its connections says so

TestEncodedPlainStreamIsComplete failed on the merged code at a load of 60 (once in a run, then in 3 of 15), and so did the older TestPlainStreamThatEndsInsideEventIsNotComplete: a caller got 502 in place of the second or third answer.

Cause, in the stand-in: it closes the connection behind each answer but left it open to be used again, so that the sidecar sent the next request on a connection that was being closed. Whether such a request ran isn't known, it has no other upstream, and 502 is right. The stand-in now says Connection: close; framings and orderly ends are what they were.

--- a/bhentry/framing_test.go
+++ b/bhentry/framing_test.go
@@ -37,7 +37,7 @@
 		panic(err)
 	}
 	defer conn.Close()
-	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+	head := "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n"
 	if query.Has("encoded") {
 		head, body = head+"Content-Encoding: br\r\n", encodedEvents
 	}
