Drain: a few answered requests tell how long others take, with a margin

From 5 answered requests on the longest one counts now, twice while there are fewer than 100: a percentile of so few is the longest one. TestRequestsThatArriveInAStop fails without the factor.

--- a/bhdrain/durations.go
+++ b/bhdrain/durations.go
@@ -11,7 +11,11 @@
 	// window is how long durations are kept at least; they are dropped after two.
 	window = 5 * time.Minute
 	// leastCount is how many durations tell how long a request will take.
-	leastCount = 20
+	leastCount = 5
+	// fullCount is from how many durations on the percentile is more than the longest one.
+	// That of fewer counts scarceFactor times.
+	fullCount    = 100
+	scarceFactor = 2
 	// percentile is that of the durations within which a request is expected to end. It is
 	// high, as a request that is refused costs a new connection, and one that is ended in
 	// the middle its answer.
@@ -58,7 +62,11 @@
 			all.Merge(part)
 		}
 	}
-	return time.Duration(all.ValueAtPercentile(percentile)) * durationUnit, all.TotalCount() >= leastCount
+	usual, count := time.Duration(all.ValueAtPercentile(percentile))*durationUnit, all.TotalCount()
+	if count < fullCount {
+		usual *= scarceFactor
+	}
+	return usual, count >= leastCount
 }
 
 // Request is a request that arrives while the process stops.
