Chat: an event with an error is none of a chat, whatever else it holds

Callers read an engine's error in their chat, which then ended as complete, if the event had choices beside the error, as some engines write it with the finish reason "error". Cause: an event counted as a chunk by its choices alone.

--- a/bhchat/answer.go
+++ b/bhchat/answer.go
@@ -46,6 +46,9 @@
 	// empty if the engine doesn't tell.
 	Fingerprint string `json:"system_fingerprint,omitempty"`
 
+	// Error is what the engine reports instead of going on; empty or null otherwise.
+	Error json.RawMessage `json:"error,omitempty"`
+
 	// Raw is the JSON that the engine sent, including fields that Chunk doesn't
 	// declare. It is valid until the next call of Decoder.Feed.
 	Raw []byte `json:"-"`
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -75,6 +75,9 @@
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event").WithRan(bhcode.RanYes)
 	}
+	if len(chunk.Error) > 0 && string(chunk.Error) != "null" {
+		return Chunk{}, false, bhcode.New(bhcode.UpstreamFailed, "an event with an error").WithRan(bhcode.RanYes)
+	}
 	if chunk.Choices == nil && chunk.Usage == nil {
 		return Chunk{}, false, bhcode.New(bhcode.UpstreamFailed, "an event without choices or usage instead of a chunk").WithRan(bhcode.RanYes)
 	}
--- a/bhentry/chat_error_test.go
+++ b/bhentry/chat_error_test.go
@@ -54,6 +54,7 @@
 			{200, `data: {"error": {"message": "out of memory"}}` + "\n\n" + bhchat.DoneEvent},
 			{200, "event: error\ndata: {\"object\": \"error\", \"message\": \"out of memory\"}\n\n"},
 			{200, "data: null\n\n"},
+			{200, `data: {"error": {"message": "out of memory"}, "choices": [{"delta": {}, "finish_reason": "error"}]}` + "\n\n" + bhchat.DoneEvent},
 			{200, chatChunk(" of", "null")[:20] + "HTTP/1.1 500 Internal Server Error\r\n\r\nout of memory\n\n"},
 		} {
 			recorder := httptest.NewRecorder()
