Sidecar: only a refusal by the engine fails a batch item for good

A batch item of our own interface was listed as failed after one answer of 204, 206, 302 or 304, as an engine or a proxy in trouble writes; bhjob takes these as interruptions and the chats of bhentry as failures of the engine. Cause: every status below 500 that isn't 200 counted as a refusal. They now count as 500 does: the item is tried again.

TestBatchItemIsTriedAgainAfterAnAnswerThatIsNoRefusal failed before for all four: 6004 instead of 2005.

--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -315,8 +315,8 @@
 
 // responseError returns the error for an engine's status other than 200:
 // NoUpstream for 404 and the statuses that say that it did not run (408, 421, 429 and
-// 503), ItemFailed for other statuses below 500, and UpstreamFailed for the rest. If the
-// body can't be read, it is UpstreamLost.
+// 503), ItemFailed for the other 4xx, which refuse the item, and UpstreamFailed for the
+// rest. If the body can't be read, it is UpstreamLost.
 func responseError(response *http.Response) error {
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBodyBytes))
 	if err != nil {
@@ -326,7 +326,7 @@
 	case status == http.StatusNotFound, status == http.StatusRequestTimeout, status == http.StatusMisdirectedRequest,
 		status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return bhcode.New(bhcode.NoUpstream, "the engine does not take the item: %d", status)
-	case status < http.StatusInternalServerError:
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError:
 		return bhcode.New(bhcode.ItemFailed, "the engine refused the item with %d: %s", status, text)
 	}
 	return bhcode.New(bhcode.UpstreamFailed, "the engine answered %d", response.StatusCode)
--- a/bhsidecar/batch_test.go
+++ b/bhsidecar/batch_test.go
@@ -99,6 +99,15 @@
 	}
 }
 
+// TestBatchItemIsTriedAgainAfterAnAnswerThatIsNoRefusal guards against an item that fails for good
+// after one answer whose status is neither that of an output nor that of a refusal.
+func TestBatchItemIsTriedAgainAfterAnAnswerThatIsNoRefusal(t *testing.T) {
+	for _, status := range []int{http.StatusNoContent, http.StatusPartialContent, http.StatusFound, http.StatusNotModified} {
+		err := responseError(&http.Response{StatusCode: status, Body: http.NoBody})
+		assert.Equal(t, bhcode.UpstreamFailed, bhcode.From(err).Code, "status %d", status)
+	}
+}
+
 // Guards against an item whose text an engine of another version continued.
 func TestBatchItemGoesOnOnlyAtTheVersionThatBeganIt(t *testing.T) {
 	engine := newBatchEngine(t, bhstand.EngineConfig{}) // of version 1
