Entry: a request that may have run isn't answered 503 or 429

Callers whose request an entry or a sidecar ended in its stop got 503 with Retry-After: 1 for what may have run; clients and proxies that go by the status send it again, also if it may not be repeated. The same for a configuration that became stale and a prompt that was withheld after an attempt. Cause: the status followed from the code alone; the gateway's writeFailure goes by whether it ran, too. Such failures are now 502 without Retry-After; code and ran in the body are as before.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -98,19 +98,20 @@
 // aborts the connection so that the caller can't mistake it for a complete one.
 func (e *Entry) respondError(err error, c echo.Context) {
 	failure := toCodeError(err)
-	if failure.Code == bhcode.Leaving && failure.Ran != bhcode.RanNo {
-		// A 503 with Retry-After would have the caller repeat what may have run.
-		failure = bhcode.Wrap(err, bhcode.RunTimeout, "the host stops before the request ended").WithRan(failure.Ran)
-	}
 	bhlog.Trace(e.logger, "request.failed", "id", requestID(c), "code", int(failure.Code), "ran", failure.Ran, "err", err)
 	if c.Response().Committed {
 		e.abortResponse(c, failure)
 	}
-	if failure.RetryAfter > 0 {
+	status := failure.Code.Info().Status
+	mayHaveRun := failure.Ran != bhcode.RanNo
+	if mayHaveRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		status = http.StatusBadGateway // 429 and 503 would tell the caller that the request did not run
+	}
+	if failure.RetryAfter > 0 && !mayHaveRun {
 		seconds := int(math.Ceil(failure.RetryAfter.Seconds()))
 		c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
-	if err := c.JSON(failure.Code.Info().Status, newErrorBody(failure)); err != nil {
+	if err := c.JSON(status, newErrorBody(failure)); err != nil {
 		bhlog.Trace(e.logger, "response.failed", "err", err)
 	}
 }
