Events: a text that names the protocol breaks no stream

A stream whose event held "HTTP/1." in its data, and a field of its own after it, as an upstream's log or a lesson on the protocol may, was broken off there and at each upstream that resumed it, though it was sound. Cause: any such text counted as the status line of an answer that was written into the event. It now has to have the version's digit and a status.

TestReaderRefusesWhatIsNoEvent failed before for "id: 2\ndata: GET / HTTP/1.1\nx-weight-versions: 3": the reader took the field for that of an answer. The status lines of the test are refused as before.

--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -48,21 +48,22 @@
 func TestReaderRefusesWhatIsNoEvent(t *testing.T) {
 	const before = "id: 1\ndata: a\n\n"
 	for text, sound := range map[string]bool{
-		"id: 2\ndata: b\n\n":                                 true,
-		"id: 2\r\ndata: b\r\n\r\n":                           true,
-		"\n\n\r\n\r\nid: 2\ndata\n\n":                        true,
-		"x-weight-versions: 3\nid: 2\ndata: b\n\n":           true,
-		": still there\n\nevent: ping\n\nretry: 5\n\n":       true,
-		"\ufeffid: 2\ndata: b\n\n":                           true,
-		"data: HTTP/1.1 500 is a status line\nid: 2\n\n":     true,
-		"out of memory\n\n":                                  false,
-		"overloaded\n\n":                                     false,
-		`{"error": "out of memory"}` + "\n\n":                false,
-		"<html>\n\n":                                         false,
-		"HTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n": false,
-		"Content-Type: text/plain\r\n\r\n":                   false,
-		"id: 2\nout of memory\n\n":                           false,
-		"id: 2\ndata: bHTTP/1.1 500 Error\r\nA: b\r\n\r\n":   false,
+		"id: 2\ndata: b\n\n":                                    true,
+		"id: 2\r\ndata: b\r\n\r\n":                              true,
+		"\n\n\r\n\r\nid: 2\ndata\n\n":                           true,
+		"x-weight-versions: 3\nid: 2\ndata: b\n\n":              true,
+		": still there\n\nevent: ping\n\nretry: 5\n\n":          true,
+		"\ufeffid: 2\ndata: b\n\n":                              true,
+		"data: HTTP/1.1 500 is a status line\nid: 2\n\n":        true,
+		"id: 2\ndata: GET / HTTP/1.1\nx-weight-versions: 3\n\n": true,
+		"out of memory\n\n":                                     false,
+		"overloaded\n\n":                                        false,
+		`{"error": "out of memory"}` + "\n\n":                   false,
+		"<html>\n\n":                                            false,
+		"HTTP/1.1 500 Internal Server Error\r\nA: b\r\n\r\n":    false,
+		"Content-Type: text/plain\r\n\r\n":                      false,
+		"id: 2\nout of memory\n\n":                              false,
+		"id: 2\ndata: bHTTP/1.1 500 Error\r\nA: b\r\n\r\n":      false,
 	} {
 		progress := &Progress{}
 		source := &chunkReader{parts: []string{before + text + "id: 3\ndata: c\n\n"}, err: io.EOF}
--- a/bhevent/sound.go
+++ b/bhevent/sound.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"regexp"
 	"slices"
 
 	"github.com/pkg/errors"
@@ -18,6 +19,9 @@
 // eventFields are the fields of an event. Others are ignored, but make no event alone.
 var eventFields = []string{"id", "data", "event", "retry"}
 
+// statusLine matches the start of an answer.
+var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
+
 // soundLength returns the length of the events at the start of data, which ends with a blank
 // line if it isn't empty. If data holds something else, it returns an error, too: upstreams
 // may write errors into their streams.
@@ -54,7 +58,7 @@
 	name, _, _ := bytes.Cut(line, []byte(":"))
 	if len(name) == 0 || slices.Contains(eventFields, string(name)) {
 		b.known = true
-		b.hasStatus = b.hasStatus || bytes.Contains(line, []byte("HTTP/1."))
+		b.hasStatus = b.hasStatus || bytes.Contains(line, []byte("HTTP/1.")) && statusLine.Match(line)
 		return true
 	}
 	b.unknown = true
