--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -228,7 +228,7 @@
 	w.calm()
 	jobs.Go(func() {
 		w.spoilInCalm(all, seed)
-		w.stopInCalm(rand.New(rand.NewPCG(seed, 6)))
+		w.stopInCalm(all, rand.New(rand.NewPCG(seed, 6)))
 	})
 	w.recover(seed)
 	w.checkPrompts(all)
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -26,6 +27,7 @@
 	// ended, and stopPause after the last fault. Each one begins with openConnections.
 	stopClients     = 3
 	stopPause       = time.Second
+	submissionEvery = 10
 	openConnections = 24
 	lateLead        = 500 * time.Millisecond
 	latePause       = 120 * time.Millisecond
@@ -43,19 +45,25 @@
 }
 
 // stopInCalm stops a gateway gracefully some time after the last fault, while clients send it
-// requests that take longer than what is left until it ends.
-func (w *world) stopInCalm(random *rand.Rand) {
+// requests that take longer than what is left until it ends. The jobs that the gateway accepts
+// are ended, which finds them.
+func (w *world) stopInCalm(ctx context.Context, random *rand.Rand) {
 	time.Sleep(stopPause)
+	var jobs, clients sync.WaitGroup
+	defer jobs.Wait()
 	p := w.processes[random.IntN(len(w.fronts))]
 	defer w.record.excuse(p.front)
 	defer w.disturb(p)()
 	defer w.record.interrupt(p.sender())()
-	ctx, cancel := context.WithCancel(w.t.Context())
-	var clients sync.WaitGroup
+	sending, cancel := context.WithCancel(ctx)
+	defer cancel()
+	accepted := func(l *lateRequest) {
+		jobs.Go(func() { newClient(w, l.id, 0).end(ctx, l.id, l.tenant) })
+	}
 	for i := range stopClients {
 		c := newClient(w, fmt.Sprint("late", i), random.Uint64())
 		c.http.Transport = &http.Transport{MaxIdleConnsPerHost: openConnections, DisableCompression: true}
-		clients.Go(func() { c.sendLate(ctx, p.front, "zoo") })
+		clients.Go(func() { c.sendLate(sending, p.front, "zoo", accepted) })
 	}
 	time.Sleep(lateLead)
 	if !p.stop() {
@@ -67,16 +75,25 @@
 	p.start(w.t)
 }
 
-// sendLate opens connections, and then sends requests of each kind until ctx is done.
-func (c *client) sendLate(ctx context.Context, gateway, tenant string) {
+// sendLate opens connections, and then sends requests of each kind until ctx is done. It calls
+// accepted with submissions of jobs that are.
+func (c *client) sendLate(ctx context.Context, gateway, tenant string, accepted func(l *lateRequest)) {
 	var group sync.WaitGroup
 	defer group.Wait()
+	send := func(how slowness) {
+		l := c.newLate(gateway, tenant, how)
+		group.Go(func() {
+			if c.late(l); l.status == http.StatusAccepted {
+				accepted(l)
+			}
+		})
+	}
 	for range openConnections {
-		group.Go(c.newLate(gateway, tenant, quick))
+		send(quick)
 	}
 	for ctx.Err() == nil {
 		pause(ctx, latePause)
-		group.Go(c.newLate(gateway, tenant, slowness(c.random.IntN(int(slownesses)))))
+		send(slowness(c.random.IntN(int(slownesses))))
 	}
 }
 
@@ -106,8 +123,8 @@
 	whole        bool
 }
 
-// newLate returns a function that sends a request and checks its answer.
-func (c *client) newLate(gateway, tenant string, how slowness) func() {
+// newLate returns a request of any kind, in one of submissionEvery the submission of a job.
+func (c *client) newLate(gateway, tenant string, how slowness) *lateRequest {
 	c.number++
 	id, path := fmt.Sprintf("%s-%d", c.name, c.number), livePaths[c.random.IntN(len(livePaths))]
 	l := &lateRequest{id: id, attempt: attempt{
@@ -122,7 +139,13 @@
 	case slowBody:
 		l.bodyTime = slow
 	}
-	return func() { c.late(l) }
+	if c.random.IntN(submissionEvery) == 0 {
+		item := attempt{sent: time.Now(), tenant: tenant, path: "/jobs/" + id + ".0", body: "item " + id}
+		c.world.record.sent(id+".0", &item)
+		l.path, l.once = "/jobs/submit", false
+		l.body = fmt.Sprintf(`{"items":[{"id":%q,"path":%q,"body":%q,"tokens":10}]}`, id+".0", item.path, base64.StdEncoding.EncodeToString([]byte(item.body)))
+	}
+	return l
 }
 
 // late sends the request and checks its answer.
@@ -159,7 +182,7 @@
 	record.answered(l)
 	c.checkHead(l.id, header)
 	switch {
-	case l.status == 0:
+	case l.status == 0, l.status == http.StatusAccepted:
 	case promised(l.status):
 		record.promise(l.id)
 	case l.status == http.StatusOK:
