--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -117,7 +117,7 @@
 	bhlog.Event(s.config.Logger, "gate.stopping", "inflight", s.config.Gate.Inflight(), "drain", drain)
 	s.config.Gate.Drain(started.Add(plan.Work))
 	time.Sleep(plan.Accept)
-	ctx, cancel := context.WithDeadline(context.Background(), started.Add(plan.Close))
+	ctx, cancel := s.untilClose(started, plan)
 	defer cancel()
 	if !callers.Drain(ctx) {
 		bhlog.Problem(s.config.Logger, "gate.cut", ctx.Err(), "inflight", s.config.Gate.Inflight())
@@ -128,6 +128,22 @@
 	return nil
 }
 
+// untilClose returns a context that is done when the connections that are left are closed.
+func (s *Server) untilClose(started time.Time, plan bhdrain.Plan) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(context.Background(), started.Add(plan.Latest))
+	go func() {
+		select {
+		case <-s.config.Gate.ended.Done():
+		case <-ctx.Done():
+			return
+		}
+		if bhtree.Sleep(ctx, time.Until(started.Add(plan.CloseAfter(time.Since(started))))) {
+			cancel()
+		}
+	}()
+	return ctx, cancel
+}
+
 // idleTimeout returns how long a client's connection may be idle.
 func (s *Server) idleTimeout() time.Duration {
 	if index := s.config.Index(); index != nil && index.Policy.Limits.IdleTimeout > 0 {
--- a/bhgate/server_test.go
+++ b/bhgate/server_test.go
@@ -16,11 +16,15 @@
 	"sync"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
 
+	"github.com/baobabhaven/baobabhaven/bhdrain"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhhost"
 	"github.com/baobabhaven/baobabhaven/bhjob"
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -332,3 +336,21 @@
 	require.NoError(t, err)
 	assert.LessOrEqual(t, left, 600, "the time that is handed on ends with the gate's")
 }
+
+// Guards against a gateway that the machine held up until connections were to be closed, and that
+// closes them before the answers are written.
+func TestStopThatIsHeldUpWaitsForItsAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := New(Config{Scope: tally.NoopScope, Pool: bhforward.NewPool(), Logger: bhlog.Nop()})
+		plan := bhdrain.NewPlan(8 * time.Second)
+		started := time.Now()
+		time.Sleep(plan.Close) // the process stands still at the end of the work
+		gate.Drain(started.Add(plan.Work))
+		ctx, cancel := (&Server{config: ServerConfig{Gate: gate}}).untilClose(started, plan)
+		defer cancel()
+		time.Sleep(plan.Latest - plan.Close - time.Millisecond)
+		require.NoError(t, ctx.Err())
+		time.Sleep(2 * time.Millisecond)
+		require.Error(t, ctx.Err())
+	})
+}
