--- a/bhdrain/inflight.go
+++ b/bhdrain/inflight.go
@@ -1,6 +1,8 @@
 // Package bhdrain holds what graceful shutdowns decide by: the requests in flight, the
 // timetable, and whether a request that arrives meanwhile can be finished. Packages bhentry,
-// bhgate and bhsidecar use it.
+// bhgate and bhsidecar use it. Gateways decide by how long requests of a route take (Plan,
+// Durations); entries and sidecars, which don't know, by the part of the stop that is left
+// (Departure).
 package bhdrain
 
 import (
