Soak: gateways, engines and runners have hosts of their own

Cause: a fault of the soak. Gateways find the runner beside an engine at the engine's IP and the port that all processes of a fleet share. In the soak all processes had one IP, and ports of their own, so that gateways and runners didn't hear what the others had used, and each kept to the whole limit. Nor did gateways hear of a runner's load or of the crashes that it saw.

Each gateway, and each engine with its runner, now has an IP of the loopback's network, and all processes of a fleet the same ports. Engines that name a limit fail items, cut answers and refuse streams like the others again, which they were spared for this cause.

--- a/soak/disrupt_test.go
+++ b/soak/disrupt_test.go
@@ -84,14 +84,14 @@
 
 // addEngine adds an engine, and a runner beside it, that no other fault is aimed at.
 func (w *world) addEngine() *engine {
-	e := newEngine(w.t, fmt.Sprintf("i-%d", len(w.engines)), "v1", w.record)
+	e := newEngine(w.t, len(w.engines), "v1", w.record)
 	e.relist = func() {
 		if w.t.Context().Err() == nil {
 			w.listEngine(e, "ready")
 		}
 	}
 	w.listEngine(e, "ready")
-	p := newProcess(w.t, "runner", fmt.Sprintf("runner-%d", len(w.engines)), w.address, e.address)
+	p := w.newProcess("runner", len(w.engines), e.address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.beside = p
@@ -150,7 +150,7 @@
 
 // failsItem reports whether the engine fails the request, an item of a job.
 func (e *engine) failsItem(r *http.Request) bool {
-	return strings.HasPrefix(r.URL.Path, "/jobs/") && e.draws(r, func(e *engine) float64 { return e.gray })
+	return strings.HasPrefix(r.URL.Path, "/jobs/") && e.draws(func(e *engine) float64 { return e.gray })
 }
 
 // write answers with the status and the body.
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -64,11 +64,12 @@
 	unwilling float64
 }
 
-func newEngine(t *testing.T, id, version string, record *recorder) *engine {
+func newEngine(t *testing.T, number int, version string, record *recorder) *engine {
+	id := fmt.Sprintf("i-%d", number)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	e := &engine{id: id, version: version, record: record, born: 1, slots: make(chan struct{}, engineSlots), again: make(map[net.Conn]string)}
-	e.proxy = newProxy(t, listener.Addr().String())
+	e.proxy = newProxy(t, hostIP("runner", number), listener.Addr().String())
 	e.proxy.flooded = func() { record.broken("over %d bytes of an answer of %s were read", maxBabble, id) }
 	e.address = e.proxy.address()
 	server := &http.Server{Handler: e, ReadHeaderTimeout: time.Minute, ConnContext: withConnection}
--- a/soak/head_test.go
+++ b/soak/head_test.go
@@ -59,22 +59,17 @@
 	}
 }
 
-// draws reports whether the engine spoils its answer to the request, as it does with the share
-// of them. An engine that names a limit spoils no item's: gateways don't reach the runner here,
-// which all have one address, so that the limit holds only while few items are sent again.
-func (e *engine) draws(r *http.Request, share func(e *engine) float64) bool {
+// draws reports whether the engine spoils its answer, as it does with the share of them.
+func (e *engine) draws(share func(e *engine) float64) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.limit > 0 && strings.HasPrefix(r.URL.Path, "/jobs/") {
-		return false
-	}
 	return rand.Float64() < share(e)
 }
 
 // cuts reports whether the answer to the request ends inside its head. Few requests come on
 // reused connections, so more of their answers do.
 func (e *engine) cuts(r *http.Request) bool {
-	return e.draws(r, func(e *engine) float64 { return e.cutting * float64(min(2, connectionOf(r).requests.Load())) })
+	return e.draws(func(e *engine) float64 { return e.cutting * float64(min(2, connectionOf(r).requests.Load())) })
 }
 
 // cutHead writes a part of the head of an answer with status 200, and closes or resets the
--- a/soak/limit_test.go
+++ b/soak/limit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -10,6 +11,7 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -155,3 +157,31 @@
 	r.interrupted["g"] = []span{{from: began.Add(limitLead), to: began.Add(limitLead + time.Second)}}
 	assert.Empty(t, r.checkLimits())
 }
+
+// TestGatewayAndRunnerShareALimit guards against a soak whose gateways and runners don't reach each
+// other: each keeps to a limit alone then, and both exceed it.
+func TestGatewayAndRunnerShareALimit(t *testing.T) {
+	const limit, items = 6, 100
+	w := newWorld(t, 1, 1, 1)
+	w.engines[0].setLimit(limit)
+	time.Sleep(lead)
+	ctx, cancel := context.WithTimeout(t.Context(), 2*limitLead+limitWindow)
+	defer cancel()
+	var job struct {
+		Items []map[string]any `json:"items"`
+	}
+	for i := range items {
+		id := fmt.Sprintf("job.%d", i)
+		item := attempt{sent: time.Now(), tenant: "zoo", path: "/jobs/" + id, body: "item " + id}
+		w.record.sent(id, &item)
+		job.Items = append(job.Items, map[string]any{"id": id, "path": item.path, "body": []byte(item.body), "tokens": 10})
+	}
+	body, err := json.Marshal(job)
+	require.NoError(t, err)
+	require.True(t, newClient(w, "batch", 1).submit(ctx, "job", "zoo", string(body)))
+	newClient(w, "live", 2).live(ctx, "zoo", 3*limit, "/safe/x")
+	w.record.mu.Lock()
+	defer w.record.mu.Unlock()
+	assert.Empty(t, w.record.checkLimits())
+	assert.NotEmpty(t, w.record.runs["job.0"])
+}
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -44,9 +44,22 @@
 
 func init() { nextPort.Store(10_000 + rand.Int32N(10_000)) }
 
-// freePorts returns consecutive ports of the loopback that nobody listens on now.
-// A process takes the port after its first internal one too, so that the ports of
-// two processes must not be mixed.
+// hostIP returns the address of a host in the loopback's network. Each gateway has a host of its
+// own, and each engine with its runner.
+func hostIP(role string, number int) string {
+	if role == "gateway" {
+		return fmt.Sprintf("127.0.1.%d", number+1)
+	}
+	return fmt.Sprintf("127.0.2.%d", number+1)
+}
+
+// portCount is how many ports a process listens on. Those of a fleet have the same ones, each on
+// its host, as they find each other by the host alone.
+const portCount = 4
+
+// freePorts returns consecutive ports that nobody listens on now, on the host of the first
+// gateway. A process takes the port after its first internal one too, so that the ports of two
+// fleets must not be mixed.
 func freePorts(t *testing.T, count int) []int {
 	t.Helper()
 	for {
@@ -63,7 +76,7 @@
 
 // isFree reports whether nobody listens on the port, for connections or datagrams.
 func isFree(port int) bool {
-	address := fmt.Sprintf("127.0.0.1:%d", port)
+	address := fmt.Sprintf("%s:%d", hostIP("gateway", 0), port)
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return false
@@ -77,23 +90,26 @@
 	return true
 }
 
-func newProcess(t *testing.T, role, name, storeAddress, app string) *process {
-	ports := freePorts(t, 4)
+// newProcess starts the program in the role on its host. It serves the engine at the address app;
+// gateways have none.
+func (w *world) newProcess(role string, number int, app string) *process {
+	t, ports, ip := w.t, w.ports, hostIP(role, number)
+	name := fmt.Sprint(role, "-", number)
 	p := &process{
 		role:     role,
 		name:     name,
-		front:    fmt.Sprintf("127.0.0.1:%d", ports[0]),
+		front:    fmt.Sprintf("%s:%d", ip, ports[0]),
 		settings: filepath.Join(t.TempDir(), "settings.toml"),
-		store:    newProxy(t, storeAddress),
+		store:    newProxy(t, "127.0.0.1", w.address),
 	}
 	text := fmt.Sprintf(`node = %q
-ip = "127.0.0.1"
+ip = %q
 zone = "z"
 app = %q
 internalPorts = [%d,%d]
 [listen]
 front = %q
-readiness = "127.0.0.1:%d"
+readiness = "%s:%d"
 [bounds]
 graceS = %g
 configPropagationMs = 2000
@@ -105,7 +121,7 @@
 statusS = 120
 [platform]
 address = %q
-`, name, app, ports[2], ports[3], p.front, ports[1], drainTime.Seconds(), revocation.Milliseconds(),
+`, name, ip, app, ports[2], ports[3], p.front, ip, ports[1], drainTime.Seconds(), revocation.Milliseconds(),
 		quotaWindow.Seconds(), quotaOver, int(quotaSlack), cancelBound.Milliseconds(), p.store.address())
 	require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
 	log, err := os.Create(filepath.Join(logDir(t), name+".log"))
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -47,8 +47,9 @@
 	flooded func()
 }
 
-func newProxy(t *testing.T, target string) *proxy {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// newProxy returns a proxy to the target that listens on the IP.
+func newProxy(t *testing.T, ip, target string) *proxy {
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 	require.NoError(t, err)
 	p := &proxy{listener: listener, target: target, conns: make(map[net.Conn]bool)}
 	go p.run(listener)
@@ -214,7 +215,7 @@
 		_, _ = conn.Write([]byte("rest"))
 		conn.Close()
 	}()
-	p := newProxy(t, listener.Addr().String())
+	p := newProxy(t, "127.0.0.1", listener.Addr().String())
 	conn, err := net.Dial("tcp", p.address())
 	require.NoError(t, err)
 	defer conn.Close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -120,8 +120,9 @@
 	processes []*process
 	// beside is the runner beside the engine that is lost for good; nil before it starts.
 	beside *process
-	// address is that of the store.
+	// address is that of the store, and ports are those of each process on its host.
 	address string
+	ports   []int
 	fronts  []string
 	// limiting is set while an engine names a limit.
 	limiting atomic.Bool
@@ -143,10 +144,9 @@
 		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}}}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
-	address := server.Listener.Addr().String()
-	w.address = address
+	w.address, w.ports = server.Listener.Addr().String(), freePorts(t, portCount)
 	for i := range engines {
-		w.engines = append(w.engines, newEngine(t, fmt.Sprintf("i-%d", i), []string{"v1", "v1.1"}[i%2], w.record))
+		w.engines = append(w.engines, newEngine(t, i, []string{"v1", "v1.1"}[i%2], w.record))
 		w.engines[i].relist = func() {
 			if t.Context().Err() == nil {
 				w.list(i, "ready")
@@ -156,12 +156,12 @@
 	}
 	w.configure()
 	for i := range gateways {
-		p := newProcess(t, "gateway", fmt.Sprintf("gateway-%d", i), address, "")
+		p := w.newProcess("gateway", i, "")
 		w.processes = append(w.processes, p)
 		w.fronts = append(w.fronts, p.front)
 	}
 	for i, e := range w.engines {
-		w.processes = append(w.processes, newProcess(t, "runner", fmt.Sprintf("runner-%d", i), address, e.address))
+		w.processes = append(w.processes, w.newProcess("runner", i, e.address))
 	}
 	return w
 }
--- a/soak/takeup_test.go
+++ b/soak/takeup_test.go
@@ -59,12 +59,12 @@
 // unwillingTo reports whether the engine doesn't go on with the stream that the request takes
 // up.
 func (e *engine) unwillingTo(r *http.Request) bool {
-	return r.Header.Get("Last-Event-Id") != "" && e.draws(r, func(e *engine) float64 { return e.unwilling })
+	return r.Header.Get("Last-Event-Id") != "" && e.draws(func(e *engine) float64 { return e.unwilling })
 }
 
 // breaksResumable reports whether the engine breaks off the stream, so that it is taken up.
 func (e *engine) breaksResumable(r *http.Request) bool {
-	return !strings.HasPrefix(r.URL.Path, "/stream/") && e.draws(r, func(e *engine) float64 { return e.unwilling / 2 })
+	return !strings.HasPrefix(r.URL.Path, "/stream/") && e.draws(func(e *engine) float64 { return e.unwilling / 2 })
 }
 
 // refuseTakeUp answers with an error instead of the rest of a stream.
