Settings: a file that is read while it is written isn't taken

What operators would see: a gateway or runner whose file is rewritten in place may run on settings that nobody wrote, until the next reload 2 s later: the start of the earlier file and the end of the new one, or the first half of the new one. At a start the process ends with an error, or starts with them.

Cause: os.ReadFile makes several reads until it meets the end of the file, and one content was enough to be put in force.

A content now counts once two reads in a row, 20 ms apart, have found the same; a joined one would have to be met twice. After ten changes between reads it is left to the next reload, which logs settings.rejected, and Open returns an error. A file that still has the content read last is read once, as before. A reload is in force 20 ms after its signal.

TestFileReadWhileItIsWrittenIsNotTaken and TestFileThatNeverSettlesKeepsLastSettings, in paused time, fail with the second read taken out.

Not covered: a writer that pauses halfway for longer than 20 ms.

--- a/bhhost/file.go
+++ b/bhhost/file.go
@@ -12,17 +12,27 @@
 	"github.com/baobabhaven/baobabhaven/bhlog"
 )
 
-// reloadInterval is how often the file is read without a signal.
-const reloadInterval = 2 * time.Second
+const (
+	// reloadInterval is how often the file is read without a signal.
+	reloadInterval = 2 * time.Second
+	// settleTime is how long a content must stay the same before it is used.
+	settleTime = 20 * time.Millisecond
+	// settleReads is how many more reads may find another content before the file
+	// is left alone until the next reload.
+	settleReads = 10
+)
 
 // Parse decodes the content of a settings file. It needn't validate the
 // settings.
 type Parse func(data []byte) (Settings, error)
 
 // File watches a settings file. An invalid new version is logged, and the last
-// valid one stays in force.
+// valid one stays in force. The file may be replaced or rewritten in place: a
+// content counts once two reads in a row have found it.
 type File struct {
-	path   string
+	path string
+	// read returns the content of the file at the path.
+	read   func(path string) ([]byte, error)
 	parse  Parse
 	logger bhlog.Logger
 	// data is the content that was read last, valid or not.
@@ -31,9 +41,14 @@
 }
 
 // Open reads the settings file for the first time. It returns an error if the
-// file can't be read, decoded or validated.
+// file can't be read, decoded or validated, or changes all the while.
 func Open(path string, parse Parse) (*File, error) {
-	data, err := os.ReadFile(path)
+	return open(path, os.ReadFile, parse)
+}
+
+func open(path string, read func(path string) ([]byte, error), parse Parse) (*File, error) {
+	file := &File{path: path, read: read, parse: parse, logger: bhlog.Nop()}
+	data, err := file.readSettled()
 	if err != nil {
 		return nil, errors.Wrap(err, "settings")
 	}
@@ -41,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "settings file %s", path)
 	}
-	file := &File{path: path, parse: parse, logger: bhlog.Nop(), data: data}
+	file.data = data
 	file.current.Store(&settings)
 	return file, nil
 }
@@ -70,7 +85,7 @@
 // reload reads the file, and applies the settings if the content has changed
 // and is valid. An unchanged file is logged only if a signal caused the reload.
 func (f *File) reload(reason string) {
-	data, err := os.ReadFile(f.path)
+	data, err := f.readSettled()
 	if err == nil && bytes.Equal(data, f.data) {
 		if reason == "signal" {
 			bhlog.Event(f.logger, "settings.same", "reason", reason)
@@ -90,6 +105,25 @@
 	bhlog.Event(f.logger, "settings.inforce", "reason", reason, "platform", settings.Platform, "engine", settings.Engine)
 }
 
+// readSettled returns the content that two reads in a row have found, or the one
+// that was read last if the file still has it. A single read may join the start
+// of one content to the end of another.
+func (f *File) readSettled() ([]byte, error) {
+	data, err := f.read(f.path)
+	for range settleReads {
+		if err != nil || f.data != nil && bytes.Equal(data, f.data) {
+			return data, err
+		}
+		time.Sleep(settleTime)
+		var again []byte
+		if again, err = f.read(f.path); err == nil && bytes.Equal(again, data) {
+			return data, nil
+		}
+		data = again
+	}
+	return nil, errors.Errorf("%s has changed between %d reads, want two in a row with the same content", f.path, settleReads+1)
+}
+
 // parseAndValidate returns the settings in data, or an error if they can't be
 // decoded or are invalid.
 func parseAndValidate(data []byte, parse Parse) (Settings, error) {
--- a/bhhost/file_test.go
+++ b/bhhost/file_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/pkg/errors"
@@ -54,6 +55,72 @@
 	require.NoError(t, <-done)
 }
 
+// fakeFile is a file whose reads return the contents in turn, and then the last
+// one again and again.
+type fakeFile struct{ contents []string }
+
+func (f *fakeFile) read(string) ([]byte, error) {
+	content := f.contents[0]
+	if len(f.contents) > 1 {
+		f.contents = f.contents[1:]
+	}
+	return []byte(content), nil
+}
+
+// Guards against settings that are half of the earlier file and half of the one that
+// is written while it is read.
+func TestFileReadWhileItIsWrittenIsNotTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &fakeFile{contents: []string{"0", "08", "8"}}
+		file, err := open("settings", source.read, parseSeconds)
+		require.NoError(t, err)
+		require.Equal(t, 8*time.Second, file.Current().Drain, "nothing but what was read twice")
+		for _, c := range []struct {
+			reads []string
+			want  time.Duration
+		}{
+			{[]string{"03", "-3"}, 8 * time.Second},
+			{[]string{"", "5", "54", "4"}, 4 * time.Second},
+			{[]string{"", "", "6"}, 4 * time.Second}, // read as empty: rejected, read again at the next reload
+			{[]string{"6"}, 6 * time.Second},
+		} {
+			source.contents = c.reads
+			start := time.Now()
+			file.reload("interval")
+			assert.Equal(t, c.want, file.Current().Drain, "after reads of %q", c.reads)
+			assert.Less(t, time.Since(start), 100*time.Millisecond, "a new content is in force at once")
+		}
+	})
+}
+
+// Guards against a file that changes at each read: it must neither be taken nor hold up
+// the process.
+func TestFileThatNeverSettlesKeepsLastSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		number := 8
+		changing := false
+		read := func(string) ([]byte, error) {
+			if changing {
+				number++
+			}
+			return []byte(strconv.Itoa(number)), nil
+		}
+		file, err := open("settings", read, parseSeconds)
+		require.NoError(t, err)
+		changing = true
+		start := time.Now()
+		file.reload("signal")
+		assert.Equal(t, 8*time.Second, file.Current().Drain)
+		_, err = open("settings", read, parseSeconds)
+		require.ErrorContains(t, err, "settings has changed between 11 reads")
+		assert.Less(t, time.Since(start), time.Second)
+
+		changing = false
+		file.reload("interval")
+		assert.Equal(t, time.Duration(number)*time.Second, file.Current().Drain)
+	})
+}
+
 func TestOpenRejectsMissingOrInvalidFile(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "settings")
 	_, err := Open(path, parseSeconds)
