Jobs: refuse the job of an account whose name can't be sent

What callers would see: a job is accepted with 202, and then each of its items is read as dead, though no engine has answered for it. Nobody is told why but the runners' logs (item.ended, "the request can't be sent").

Cause: items carry the name of their account in a header. Runners give up what can't be sent as it is.

Submission.Validate now refuses such a job with 400 (batch_invalid) that quotes the name, escaped and cut to 64 bytes, and says what is allowed; nothing is stored.

TestJobOfAnAccountThatCannotBeNamedIsRefused and TestJobOfAnAccountThatCannotBeNamedGets400 (gateway with a job store) failed before: no error, and 202 in place of 400. Names with spaces inside, slashes or letters beyond ASCII, and no name, are accepted as before.

--- a/bhgate/jobs_test.go
+++ b/bhgate/jobs_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhjob"
+	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
 // busyJobs refuses submissions until a time.
@@ -65,3 +67,33 @@
 		})
 	}
 }
+
+// targetJobCalls gives the item of a job a path.
+type targetJobCalls struct{ fakeJobCalls }
+
+// Items implements JobCalls.
+func (targetJobCalls) Items(body []byte) ([]bhjob.Item, error) {
+	return []bhjob.Item{{ID: "i", Target: "/a/i", Body: body}}, nil
+}
+
+// Guards against jobs that get a 202 although none of their items can be sent: a
+// configuration may name an account in a way that no header can.
+func TestJobOfAnAccountThatCannotBeNamedGets400(t *testing.T) {
+	for name, want := range map[string]int{"zoo\r\nDeadline: 1": http.StatusBadRequest, "zoo of the north": http.StatusAccepted} {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		g := newJobsGate(t, bhjob.NewJobStore(bhjob.JobStoreConfig{Store: store, Objects: store, Logger: bhlog.Nop()}))
+		g.gate.config.Calls = targetJobCalls{}
+		g.policies.update(func(p *fakePolicies) {
+			policy := *p.view.Index.Policy
+			policy.Accounts = []bhpolicy.Account{{Name: name, Keys: []string{"k1"}, Rate: 5}}
+			p.view.Index = bhpolicy.NewIndex(&policy)
+		})
+		response, body, err := g.do(g.request("/a/x"))
+		require.NoError(t, err)
+		assert.Equal(t, want, response.StatusCode, "%q: %s", name, body)
+		if want != http.StatusAccepted {
+			assert.Contains(t, body, `the account's name: value "zoo\r\nDeadline: 1" must hold no control characters`)
+			assert.Empty(t, store.Records("jobitem"))
+		}
+	}
+}
--- a/bhjob/validate.go
+++ b/bhjob/validate.go
@@ -18,6 +18,9 @@
 	if err := bhforward.ValidateValue(s.ID); err != nil {
 		return bhcode.New(bhcode.BatchInvalid, "the job's id: %s", err)
 	}
+	if err := bhforward.ValidateValue(s.Account); err != nil {
+		return bhcode.New(bhcode.BatchInvalid, "the account's name: %s", err)
+	}
 	if len(s.Items) == 0 || len(s.Items) > maxItems {
 		return bhcode.New(bhcode.BatchInvalid, "the job has %d items of 1 to %d", len(s.Items), maxItems)
 	}
--- a/bhjob/validate_test.go
+++ b/bhjob/validate_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -50,6 +51,54 @@
 	assert.True(t, bhcode.Is(newTestJobStore(bhstand.NewStore(bhstand.StoreConfig{})).Submit(t.Context(), submission), bhcode.BatchInvalid))
 }
 
+// TestJobOfAnAccountThatCannotBeNamedIsRefused guards against jobs that are accepted and whose
+// items are all given up, since their account's name can't stand in a header.
+func TestJobOfAnAccountThatCannotBeNamedIsRefused(t *testing.T) {
+	for account, named := range map[string]string{
+		"zoo\r\nDeadline: 1": `"zoo\r\nDeadline: 1"`, "zoo\n": `"zoo\n"`, "zoo\x00": `"zoo\x00"`, " zoo": `" zoo"`,
+		"zoo\n" + strings.Repeat("z", 4000): `"zoo\nzzz`,
+	} {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		submission := sampleJob("j", 1)
+		submission.Account = account
+		err := newTestJobStore(store).Submit(t.Context(), submission)
+		require.Error(t, err, "%.64q", account)
+		assert.True(t, bhcode.Is(err, bhcode.BatchInvalid))
+		assert.Contains(t, err.Error(), "the account's name: value "+named)
+		assert.Contains(t, err.Error(), "must hold no control characters")
+		assert.NotContains(t, err.Error(), "\n")
+		assert.Less(t, len(err.Error()), 400)
+		for _, table := range []string{jobTable, itemTable, accountVersionTable} {
+			assert.Empty(t, store.Records(table), "nothing of the job is stored")
+		}
+	}
+	for _, account := range []string{"", "zoo of the north", "zoö", "zoo/1"} {
+		submission := sampleJob("j", 1)
+		submission.Account = account
+		assert.NoError(t, newTestJobStore(bhstand.NewStore(bhstand.StoreConfig{})).Submit(t.Context(), submission), "%q", account)
+	}
+}
+
+// TestStoredJobOfAnAccountThatCannotBeNamedIsGivenUp guards against a runner that ends, or runs
+// an item again and again, because an earlier version has accepted such a job.
+func TestStoredJobOfAnAccountThatCannotBeNamedIsGivenUp(t *testing.T) {
+	store := bhstand.NewStore(bhstand.StoreConfig{})
+	jobs := newTestJobStore(store)
+	require.NoError(t, jobs.Submit(t.Context(), sampleJob("sound", 1)))
+	bad := sampleJob("j", 1)
+	bad.Account = "zoo\n"
+	payload, err := jobs.prepareItems(t.Context(), bad)
+	require.NoError(t, err)
+	require.NoError(t, jobs.accept(t.Context(), bad, payload))
+	r := newRunnerFixture(t, store, "a")
+	assert.Equal(t, Completed, r.waitResults("sound", 1)[0].Status)
+	require.Eventually(t, func() bool {
+		results, err := jobs.Results(t.Context(), bad.Account, "j", 0)
+		return err == nil && len(results.Results) == 1 && results.Results[0].Status == Dead
+	}, 10*time.Second, 10*time.Millisecond)
+	assert.Len(t, r.engine.requestHeaders(), 1)
+}
+
 // TestItemsWithUnusualValuesAreAccepted guards against jobs that are refused although their items
 // can run.
 func TestItemsWithUnusualValuesAreAccepted(t *testing.T) {
