Jobs: results of a job that took long stay for a while after its end

What callers would see: a job that takes longer than results are kept, as its route's retention allows, is gone when it is done: results that were just listed, and those that nobody has read yet, get 404.

A sweeper now remembers when it has first found a job finished, by the store's clock, and removes it no sooner than 5 minutes after (the margin that results had beyond their retention). Nothing is stored and no call is added; a runner that starts begins anew, which only keeps jobs longer. Jobs that finish within their results' retention are removed as before by a runner that ran meanwhile.

--- a/bhjob/jobstore.go
+++ b/bhjob/jobstore.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -32,10 +33,17 @@
 // concurrent use.
 type JobStore struct {
 	config JobStoreConfig
+
+	// sweepMu is held by Sweep.
+	sweepMu sync.Mutex
+	// finishedSince is when Sweep has first found a job finished, by the store's clock.
+	finishedSince map[bhplatform.Key]time.Duration
 }
 
 // NewJobStore returns a JobStore that uses the configured store.
-func NewJobStore(config JobStoreConfig) *JobStore { return &JobStore{config: config} }
+func NewJobStore(config JobStoreConfig) *JobStore {
+	return &JobStore{config: config, finishedSince: make(map[bhplatform.Key]time.Duration)}
+}
 
 // find returns the job, whether open or finished, or nil if there is none.
 func (s *JobStore) find(ctx context.Context, account, id string) (*Job, error) {
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -110,7 +110,7 @@
 	// are too old for starting items.
 	StaleAfter func() time.Duration
 	// Retention returns how long after its acceptance a job's results stay
-	// readable.
+	// readable. Those of a job that takes longer stay for minutes after its end.
 	Retention func() time.Duration
 }
 
--- a/bhjob/sweep.go
+++ b/bhjob/sweep.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -16,8 +17,8 @@
 const (
 	// sweepInterval is the mean time between a runner's sweeps.
 	sweepInterval = 2 * time.Minute
-	// sweepMargin is the time that results are kept beyond their retention, for
-	// clients that read them late.
+	// sweepMargin is the time that results are kept beyond their retention, and
+	// beyond the end of their job, for clients that read them late.
 	sweepMargin = 5 * time.Minute
 )
 
@@ -38,9 +39,14 @@
 }
 
 // Sweep removes the finished jobs that were accepted longer ago than retention
-// plus sweepMargin. It returns the number of removed jobs, also with an error.
+// plus sweepMargin, and that a call at least sweepMargin ago has found finished
+// already: a job may take longer than the retention of its results. It returns
+// the number of removed jobs, also with an error.
 func (s *JobStore) Sweep(ctx context.Context, retention time.Duration) (int, error) {
+	s.sweepMu.Lock()
+	defer s.sweepMu.Unlock()
 	removed := 0
+	found := make(map[bhplatform.Key]bool)
 	for _, part := range allPartitions() {
 		page, err := bhplatform.ScanAll(ctx, s.config.Store, bhplatform.Range{Table: finishedTable, Partition: part})
 		if err != nil {
@@ -52,7 +58,11 @@
 				bhlog.Problem(s.config.Logger, "job.invalid", err, "record", record.Key.Name)
 				continue
 			}
-			if page.Now < job.Accepted+retention+sweepMargin {
+			found[record.Key] = true
+			if _, ok := s.finishedSince[record.Key]; !ok {
+				s.finishedSince[record.Key] = page.Now
+			}
+			if page.Now < max(job.Accepted+retention, s.finishedSince[record.Key])+sweepMargin {
 				continue
 			}
 			if err := s.removeJob(ctx, job); err != nil {
@@ -61,6 +71,7 @@
 			removed++
 		}
 	}
+	maps.DeleteFunc(s.finishedSince, func(key bhplatform.Key, _ time.Duration) bool { return !found[key] })
 	return removed, nil
 }
 
