Settings: show that a daemon refuses settings that are half written

Entries and sidecars read theirs once, at the start, and would keep what they have read. It is JSON: a first part has no end, and a file with the end of a longer one has text after the document, so that the start fails with an error. TestSettingsReadWhileTheyAreWrittenAreRefused shows both; it fails with the check of the document's end off. Not refused, by reading: a file of over a page of the machine that is rewritten at the same length just while it is read.

Sound by reading: configurations and loads (operators' commands, read once; JSON and validated before anything is applied), files of batches (the entry takes and names by digest what it has received), tokens (a cut one is refused), logs that `story` reads (a half line is counted as none). platform/ reads no file itself.

--- a/bhconf/check_test.go
+++ b/bhconf/check_test.go
@@ -120,6 +120,24 @@
 	assert.ErrorContains(t, err, "at most")
 }
 
+// Guards against a daemon that starts with settings that it read while they were written, and
+// keeps them: the first part of a file, or all of one and the end of a longer one.
+func TestSettingsReadWhileTheyAreWrittenAreRefused(t *testing.T) {
+	earlier := `{"role": "entry", "host": "a", "link": "10.0.0.1:1", "admin": "10.0.0.1:2", "listen": "10.0.0.1:3",
+		"platform": "http://10.0.0.1:4", "secrets": ["0123456789abcdef"]}`
+	written := strings.Replace(earlier, `"a"`, `"a", "drain": "9s", "log": "warn"`, 1)
+	for _, settings := range []string{earlier, written} {
+		_, err := ParseSettings([]byte(settings))
+		require.NoError(t, err)
+	}
+	for end := range len(written) {
+		_, err := ParseSettings([]byte(written[:end]))
+		require.Error(t, err, "the first %d bytes", end)
+	}
+	_, err := ParseSettings([]byte(earlier + written[len(earlier):]))
+	require.ErrorContains(t, err, "there is text after the document")
+}
+
 func TestCanonicalFormIsUnchangedByParsing(t *testing.T) {
 	config := Config{Format: Format, Accounts: []Account{
 		{Name: "b", Rate: 1, Burst: 2}, {Name: "a", Rate: 0.5, Burst: 1, Keys: []Key{{Name: "k", Digest: "sha256:" + strings.Repeat("a", 64)}}},
