bhentry: Tell requests that wait at the end of a stop that the entry leaves

Callers whose request waited for a token of their account when the stop of an entry ended it got 429 "over its rate", and those that waited for a trial of a suspect request "could not start before its deadline" without a time to come back. Neither was so: the request did not run because the entry stops.

Cause: both waits end with the request's context and name the error of the wait without asking what ended the context. bhdrain.Departure gives the cause, which dispatch already looks at after an attempt.

A trial that is refused for good stays so (quarantined), and a key that was revoked during the wait is named, too.

--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -82,7 +82,7 @@
 			return nil
 		}
 		if cause := cancelCause(ctx); cause != nil {
-			return cause
+			return cause.WithRan(bhcode.RanUnknown)
 		}
 		if ctx.Err() != nil || !mayRetry(lastErr, submit.Idempotent, sink) {
 			return lastErr
@@ -120,10 +120,10 @@
 
 // cancelCause returns the error that cancelled ctx: KeyRevoked or ConfigStale from
 // bhsync.RunningRequests, or Leaving from bhdrain.Departure. It returns nil if neither did.
-func cancelCause(ctx context.Context) error {
+func cancelCause(ctx context.Context) *bhcode.Error {
 	var failure *bhcode.Error
 	if errors.As(context.Cause(ctx), &failure) {
-		return failure.WithRan(bhcode.RanUnknown)
+		return failure
 	}
 	return nil
 }
--- a/bhentry/limiter.go
+++ b/bhentry/limiter.go
@@ -70,12 +70,15 @@
 }
 
 // takeToken takes one token of the account for a request. The error is
-// RateExceeded.
+// RateExceeded, or Leaving if the departure ended the wait for a token.
 func (e *Entry) takeToken(ctx context.Context, account string) error {
 	decision := e.limiter.Take(ctx, account, 1)
 	if decision.OK {
 		return nil
 	}
+	if cause := cancelCause(ctx); cause != nil {
+		return cause
+	}
 	return bhcode.New(bhcode.RateExceeded, "the client account %s is over its rate and burst", account).WithRetryAfter(decision.RetryAfter)
 }
 
--- a/bhentry/quarantine.go
+++ b/bhentry/quarantine.go
@@ -66,9 +66,9 @@
 
 // admit decides how the request may run. It returns a trial if the request is a
 // suspect and must run apart from other suspects, and nil if it is clear. It
-// waits while another trial of the same content runs. The error, Quarantined or
-// QueueTimeout, refuses the request; lastErr is the error of its previous
-// attempt, or nil.
+// waits while another trial of the same content runs. The error, Quarantined,
+// QueueTimeout or what cancelled ctx meanwhile, refuses the request; lastErr is the
+// error of its previous attempt, or nil.
 func (q *quarantine) admit(ctx context.Context, submit bhwire.Submit, lastErr error) (*trial, error) {
 	deadline, _ := ctx.Deadline()
 	for {
@@ -84,6 +84,9 @@
 			return current == bhcrash.Suspect
 		}
 		lease, err := q.trials.Begin(ctx, submit.Digest, deadline, stillSuspect)
+		if cause := cancelCause(ctx); cause != nil && bhcode.Is(err, bhcode.QueueTimeout) {
+			return nil, withRanOf(lastErr, cause.WithRan(bhcode.RanNo))
+		}
 		if err != nil {
 			return nil, withRanOf(lastErr, bhcode.From(err))
 		}
--- a/bhentry/stop_test.go
+++ b/bhentry/stop_test.go
@@ -39,10 +39,13 @@
 }
 
 // post sends a request that may not be repeated, and returns a channel that receives its answer.
-func (c *testCluster) post(path string) <-chan answer {
+func (c *testCluster) post(path string) <-chan answer { return c.begin(http.MethodPost, path) }
+
+// begin sends a request and returns a channel that receives its answer.
+func (c *testCluster) begin(method, path string) <-chan answer {
 	answers := make(chan answer, 1)
 	go func() {
-		response, err := c.send(context.Background(), http.MethodPost, path)
+		response, err := c.send(context.Background(), method, path)
 		if err != nil {
 			answers <- answer{err: err}
 			return
@@ -176,3 +179,31 @@
 		assert.Equal(t, http.StatusOK, got.status, got.body)
 	}
 }
+
+// TestRequestThatWaitsForItsTrialIsToldOfTheStop guards against requests that wait for a trial of
+// their content at the end of an entry's stop, and were told that their own deadline had passed.
+func TestRequestThatWaitsForItsTrialIsToldOfTheStop(t *testing.T) {
+	started := make(chan struct{}, 8)
+	hanging := hangingService(started)
+	var crashes atomic.Int32
+	service := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if crashes.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+		hanging.ServeHTTP(w, r)
+	})
+	cluster := newTestCluster(t, service, service)
+	trial := cluster.begin(http.MethodGet, "/svc/suspect")
+	<-started
+	waiting := cluster.begin(http.MethodGet, "/svc/suspect")
+	require.Never(t, func() bool { return len(started) > 0 }, testDrain/5, pollInterval)
+	cluster.stopEntry()
+	got := <-waiting
+	require.NoError(t, got.err)
+	assert.Equal(t, http.StatusServiceUnavailable, got.status, got.body)
+	assert.Equal(t, "1", got.retry)
+	assert.Contains(t, got.body, `"code":2008`)
+	assert.Contains(t, got.body, `"ran":"no"`)
+	require.NoError(t, (<-trial).err)
+	assert.Empty(t, started, "the waiting request was not sent")
+}
