bhentry: Answer requests whose body is still arriving at the end of a stop

Callers whose request body was still arriving when an entry ended its stop saw their connection close without an answer. The request wasn't passed on; they couldn't know.

Cause: the departure cancels the request's context a tenth of the drain before its end, but nothing that reads a body looks at the context. The read went on until connections were closed.

The entry now has reads of the body fail when the context is done, for all routes at once, and answers 503 as not run with Retry-After, as gateways do. A request that is found malformed at that moment because half of it is missing gets the same answer; it didn't run either.

TestEntryAnswersRequestsWhoseBodyIsStillArriving sends half a body with a length and in chunks to a service, a chat, a batch and a file.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"math"
 	"net/http"
@@ -52,8 +53,12 @@
 		if err == nil {
 			ctx, release := e.departure.Bind(c.Request().Context())
 			defer release()
+			defer endReading(ctx, c)()
 			c.SetRequest(c.Request().WithContext(ctx))
 			err = next(c)
+			if cause := cancelCause(ctx); cause != nil && bhcode.Is(err, bhcode.BadRequest) {
+				err = cause // its body was still arriving
+			}
 		}
 		if err != nil {
 			c.Error(err)
@@ -63,6 +68,22 @@
 	}
 }
 
+// endReading has reads of the request's body fail once ctx is done. The caller must call
+// stop before the handler returns.
+func endReading(ctx context.Context, c echo.Context) (stop func()) {
+	controller := http.NewResponseController(c.Response())
+	ended := make(chan struct{})
+	detach := context.AfterFunc(ctx, func() {
+		defer close(ended)
+		_ = controller.SetReadDeadline(time.Unix(1, 0))
+	})
+	return func() {
+		if !detach() {
+			<-ended
+		}
+	}
+}
+
 // errorBody is the JSON body of an error response to a caller.
 type errorBody struct {
 	Error errorDetail `json:"error"`
--- a/bhentry/stop_test.go
+++ b/bhentry/stop_test.go
@@ -45,18 +45,31 @@
 func (c *testCluster) begin(method, path string) <-chan answer {
 	answers := make(chan answer, 1)
 	go func() {
-		response, err := c.send(context.Background(), method, path)
-		if err != nil {
-			answers <- answer{err: err}
-			return
-		}
-		defer response.Body.Close()
-		body, err := io.ReadAll(response.Body)
-		answers <- answer{status: response.StatusCode, retry: response.Header.Get("Retry-After"), body: string(body), err: err}
+		answers <- newAnswer(c.send(context.Background(), method, path))
+	}()
+	return answers
+}
+
+// readAnswer returns a channel that receives the answer that comes on the connection.
+func readAnswer(conn net.Conn) <-chan answer {
+	answers := make(chan answer, 1)
+	go func() {
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		answers <- newAnswer(response, err)
 	}()
 	return answers
 }
 
+// newAnswer reads the rest of the response, unless there is none.
+func newAnswer(response *http.Response, err error) answer {
+	if err != nil {
+		return answer{err: err}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return answer{status: response.StatusCode, retry: response.Header.Get("Retry-After"), body: string(body), err: err}
+}
+
 // TestEntryAnswersWhatStillRunsAtTheEndOfItsStop guards against requests that a planned stop of an
 // entry cuts off without an answer, although they may not be repeated.
 func TestEntryAnswersWhatStillRunsAtTheEndOfItsStop(t *testing.T) {
@@ -207,3 +220,32 @@
 	require.NoError(t, (<-trial).err)
 	assert.Empty(t, started, "the waiting request was not sent")
 }
+
+// TestEntryAnswersRequestsWhoseBodyIsStillArriving guards against requests that the end of an entry's
+// stop cuts off without an answer while their body arrives.
+func TestEntryAnswersRequestsWhoseBodyIsStillArriving(t *testing.T) {
+	var ran atomic.Int32
+	cluster := newTestCluster(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { ran.Add(1) }))
+	const half = "--b\r\nContent-Disposition: form-data; name=\"file\"; filename=\"f\"\r\n\r\nhalf"
+	answers := make(map[string]<-chan answer)
+	for _, path := range []string{"/svc/x", "/v1/chat/completions", "/v1/batches", "/v1/files"} {
+		for _, framing := range []string{"Content-Length: 1000\r\n\r\n" + half, fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n", len(half), half)} {
+			conn, err := net.Dial("tcp", strings.TrimPrefix(cluster.url, "http://"))
+			require.NoError(t, err)
+			defer conn.Close()
+			fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nContent-Type: multipart/form-data; boundary=b\r\nAuthorization: Bearer %s\r\n%s", path, testAPIKey, framing)
+			answers[path+framing] = readAnswer(conn)
+		}
+	}
+	time.Sleep(testDrain / 10)
+	cluster.stopEntry()
+	for request, answers := range answers {
+		got := <-answers
+		require.NoError(t, got.err, request)
+		assert.Equal(t, http.StatusServiceUnavailable, got.status, request)
+		assert.Equal(t, "1", got.retry, request)
+		assert.Contains(t, got.body, `"code":2008`)
+		assert.Contains(t, got.body, `"ran":"no"`)
+	}
+	assert.Zero(t, ran.Load())
+}
