bhgate: Relay an upstream's answer if no further attempt fits the stop

While a gateway stopped, clients of repeatable requests got 502 with the gateway's text in place of the 500 that an upstream had answered, if a further attempt no longer fitted the time that was left.

Cause: the attempt dropped its answer because another might follow; only after that was checkStop asked, which refused it. The attempt asks now before it drops the answer, and relays it as it does the last one's.

Outside a stop the other upstream still answers, which the test checks first. An answer that was dropped for an attempt that then brought none is still replaced, in a stop as outside.

--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -235,7 +235,7 @@
 	switch {
 	case answer.Status < 300 && c.route.Kind == bhpolicy.Streaming && bhevent.KindOf(answer.Header) != bhevent.Other:
 		return false, c.relayStream(ctx, current)
-	case answer.Status >= 500 && c.route.Repeatable() && c.sends < c.route.MaxAttempts:
+	case answer.Status >= 500 && c.repeatsNow():
 		return true, bhcode.New(bhcode.UpstreamFailed, "upstream %s answered %d", instance.ID, answer.Status).WithRan(bhcode.RanYes)
 	case meansNotRun(answer.Status):
 		// Without the dialect's not-run header the client must not learn from the
@@ -340,6 +340,12 @@
 	return false
 }
 
+// repeatsNow reports whether the call may be sent once more although it has run: an answer
+// that is dropped for a further attempt can't be relayed if none is made.
+func (c *call) repeatsNow() bool {
+	return c.route.Repeatable() && c.sends < c.route.MaxAttempts && c.checkStop() == nil
+}
+
 // retryable reports whether another attempt may follow the one that failed with
 // err.
 func (c *call) retryable(err error) bool {
--- a/bhgate/server_test.go
+++ b/bhgate/server_test.go
@@ -337,6 +337,32 @@
 	assert.LessOrEqual(t, left, 600, "the time that is handed on ends with the gate's")
 }
 
+// Guards against a request that may be repeated and whose client gets the gateway's own failure in a
+// stop, in place of the answer of the last upstream that it reached.
+func TestStopRelaysTheLastAnswerThatAnUpstreamGave(t *testing.T) {
+	failing := newUpstream(t, func(w http.ResponseWriter, _ *http.Request, _ int) {
+		time.Sleep(800 * time.Millisecond)
+		http.Error(w, "out of memory", http.StatusInternalServerError)
+	})
+	other := newUpstream(t, answerOK)
+	for _, stops := range []bool{false, true} {
+		g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Safe, LatencyObjective: 2 * time.Second, MaxAttempts: 2}, failing, other)
+		for range 100 {
+			g.gate.durations.Observe("main", 1500*time.Millisecond)
+		}
+		want, body := http.StatusOK, "fine"
+		if stops {
+			g.gate.Drain(time.Now().Add(2 * time.Second))
+			want, body = http.StatusInternalServerError, "out of memory\n"
+		}
+		response, got, err := g.do(g.request("/a/x"))
+		require.NoError(t, err)
+		assert.Equal(t, want, response.StatusCode, "stops: %t", stops)
+		assert.Equal(t, body, got)
+		assert.Equal(t, 1, other.count())
+	}
+}
+
 // Guards against a gateway that the machine held up until connections were to be closed, and that
 // closes them before the answers are written.
 func TestStopThatIsHeldUpWaitsForItsAnswers(t *testing.T) {
