bhgate: Judge the status of every answer in one place

An upstream that answered the resumption of a stream with 5xx went on to get requests at once, and one whose address answered for another instance (421) wasn't passed over, so that the next clients met the same failure. At a first attempt the same answers rest the upstream, report a fault to the engine's runner, or count as moved.

Cause: one judgement at two places. tryUpstream drew the consequences of a status after send; resume, which also calls send, did not. They are drawn in send now, by recordStatus, so that both get all of them: also the end of an upstream's rest by an answer that is none of these.

TestStatusOfAResumptionCountsForItsUpstream compares both attempts for 500, 503 with and without a promise, 421 and 404. With the fix out the resumption fails it for 500, 503 without a promise and 421; it passed five of five times with it, and so did the package with -race once, on one core.

--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -214,19 +214,9 @@
 	}
 	defer current.close()
 	answer := current.answer
-	if answer.Status == http.StatusMisdirectedRequest {
-		c.gate.config.Balancer.Moved(instance.ID)
-	}
 	if c.gate.config.Dialect.Refused(answer) {
-		c.engineWatch.answered()
 		return true, bhcode.New(bhcode.Overloaded, "upstream %s refused with status %d", instance.ID, answer.Status).WithRetryAfter(c.refusalRetryAfter(answer.Status))
 	}
-	if answer.Status >= http.StatusInternalServerError {
-		c.engineWatch.failed()
-		c.gate.config.Balancer.Failed(instance.ID, errors.Errorf("upstream answered %d", answer.Status))
-	} else {
-		c.gate.config.Balancer.Answered(instance.ID)
-	}
 	if c.takesUp() && answer.Status == http.StatusOK {
 		if err := current.checkRest(); err != nil {
 			return c.retryable(err), err
@@ -288,6 +278,7 @@
 	if c.gate.config.Dialect.IsLeaving(answer) {
 		c.gate.config.Policies.MarkLeaving(instance)
 	}
+	c.recordStatus(instance, answer)
 	return &attempt{
 		instance: instance, answer: answer, sentAt: sentAt, timer: timer, cancel: cancel,
 		broke:     func(err error) { c.upstreamBroke(ctx, instance, sentAt, err) },
@@ -295,6 +286,24 @@
 	}, nil
 }
 
+// recordStatus records what the status of an answer says about its upstream: that it failed, has
+// moved, or works. A refusal says nothing about its health.
+func (c *call) recordStatus(instance bhwatch.Instance, answer *bhforward.Answer) {
+	balancer := c.gate.config.Balancer
+	if answer.Status == http.StatusMisdirectedRequest {
+		balancer.Moved(instance.ID)
+	}
+	switch {
+	case c.gate.config.Dialect.Refused(answer):
+		c.engineWatch.answered()
+	case answer.Status >= http.StatusInternalServerError:
+		c.engineWatch.failed()
+		balancer.Failed(instance.ID, errors.Errorf("upstream answered %d", answer.Status))
+	default:
+		balancer.Answered(instance.ID)
+	}
+}
+
 // upstreamRequest returns the request to send to the instance: without the
 // client's key, and with the gateway's own account, instance and deadline headers.
 func (c *call) upstreamRequest(instance bhwatch.Instance, lastEventID string) *bhforward.Request {
--- a/bhgate/stream_error_test.go
+++ b/bhgate/stream_error_test.go
@@ -186,3 +186,35 @@
 		}
 	}
 }
+
+// Guards against an upstream that answers a resumption with a failure, or for another one that has
+// its address, and goes on to get requests, as its first attempt would have kept them away.
+func TestStatusOfAResumptionCountsForItsUpstream(t *testing.T) {
+	for _, c := range []struct {
+		head            string
+		rests, hasMoved bool
+	}{
+		{head: "500 Internal Server Error", rests: true},
+		{head: "503 Service Unavailable", rests: true},
+		{head: "503 Service Unavailable\r\nNot-Run: 1"},
+		{head: "421 Misdirected Request", hasMoved: true},
+		{head: "404 Not Found"},
+	} {
+		for _, attempt := range []string{"first", "resumption"} {
+			next := newUpstream(t, framedAnswer(bhforward.FramedByLength, c.head, ""))
+			upstreams := []*fakeUpstream{next}
+			if attempt == "resumption" {
+				upstreams = []*fakeUpstream{newUpstream(t, streamEvents(20, 7)), next}
+			}
+			g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Streaming, Resumable: true, MaxAttempts: len(upstreams)}, upstreams...)
+			_, _, err := g.do(g.request("/a/x"))
+			assert.Equal(t, attempt == "resumption", err != nil, "%q: a stream that has begun breaks visibly: %v", c.head, err)
+			require.Equal(t, 1, next.count())
+			instances := g.policies.View().Fleet["s"]
+			instance := instances[len(instances)-1]
+			assert.Equal(t, c.rests, g.gate.config.Balancer.BackingOff(instance.ID), "%s: %q", attempt, c.head)
+			usable := g.gate.config.Balancer.Sample(instances[len(instances)-1:], nil, 1)
+			assert.Equal(t, c.hasMoved, len(usable) == 0, "%s: %q", attempt, c.head)
+		}
+	}
+}
