Tests of the gateway: the policy stays proven while a test runs

The policy of the test's gate was read once, when the test began, and no platform proved it again. After 4.6 s (the revocation time less its margin) each request with a key was refused: "config_stale (4003): the policy was read 4.717587694s ago".

Each reading now proves the fake policies, as a platform that answers does, unless a test makes the platform silent. The three tests of old proofs do, and check what they did. The product is as before.

--- a/bhgate/gate_test.go
+++ b/bhgate/gate_test.go
@@ -57,7 +57,7 @@
 func TestPublicRouteNeedsNoKeyAndForwardsNoAccount(t *testing.T) {
 	u := newUpstream(t, answerOK)
 	g := newTestGate(t, bhpolicy.Route{}, u)
-	g.policies.update(func(p *fakePolicies) { p.view.ProvenAt = 0 }) // a request without a key needs no proof
+	g.policies.update(func(p *fakePolicies) { p.silent, p.view.ProvenAt = true, 0 }) // a request without a key needs no proof
 	assert.Equal(t, http.StatusOK, g.status(g.request("/open/x", func(req *http.Request) { req.Header.Set("Account", "forged") })))
 	assert.Empty(t, u.last().Header.Get("Account"))
 	assert.Empty(t, u.last().Header.Get("Authorization"))
@@ -110,7 +110,7 @@
 	} {
 		u := newUpstream(t, answerOK)
 		g := newTestGate(t, bhpolicy.Route{}, u)
-		g.policies.update(func(p *fakePolicies) { p.view.ProvenAt = g.clock.Now() - c.age })
+		g.policies.update(func(p *fakePolicies) { p.silent, p.view.ProvenAt = true, g.clock.Now()-c.age })
 		response, _, err := g.do(g.request("/a/x"))
 		require.NoError(t, err)
 		assert.Equal(t, c.status, response.StatusCode, "%s", c.age)
--- a/bhgate/helpers_test.go
+++ b/bhgate/helpers_test.go
@@ -84,9 +84,13 @@
 }
 
 // fakePolicies holds a view that a test sets. Confirm replaces it by confirmed, and
-// ConfirmFleet by confirmedFleet, or returns confirmErr.
+// ConfirmFleet by confirmedFleet, or returns confirmErr. Each reading proves the view, however
+// long the test takes, unless the platform is silent.
 type fakePolicies struct {
+	clock bhclock.Clock
+
 	mu             sync.Mutex
+	silent         bool
 	confirmedFleet *bhwatch.View
 	view           bhwatch.View
 	confirmed      *bhwatch.View
@@ -98,6 +102,14 @@
 func (p *fakePolicies) View() bhwatch.View {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.read()
+}
+
+// read returns the view with the time of its proof. The caller holds p.mu.
+func (p *fakePolicies) read() bhwatch.View {
+	if !p.silent {
+		p.view.ProvenAt = p.clock.Now()
+	}
 	return p.view
 }
 
@@ -112,7 +124,7 @@
 	if p.confirmed != nil {
 		p.view = *p.confirmed
 	}
-	return p.view, nil
+	return p.read(), nil
 }
 
 // ConfirmFleet implements Policies.
@@ -125,7 +137,7 @@
 	if p.confirmedFleet != nil {
 		p.view = *p.confirmedFleet
 	}
-	return p.view, nil
+	return p.read(), nil
 }
 
 // MarkLeaving implements Policies.
@@ -169,7 +181,8 @@
 // newTestGate starts a gate with the route under /a/ and a public copy of it under
 // /open/. The account zoo has the key k1.
 func newTestGate(t *testing.T, route bhpolicy.Route, upstreams ...*fakeUpstream) *testGate {
-	g := &testGate{t: t, policies: &fakePolicies{}, quota: fakeQuota{}, clock: bhclock.NewRuntime()}
+	clock := bhclock.NewRuntime()
+	g := &testGate{t: t, policies: &fakePolicies{clock: clock}, quota: fakeQuota{}, clock: clock}
 	route.Name, route.Host, route.Prefix = "main", "one.example", "/a/"
 	route.Backends = []bhpolicy.Backend{{Service: "s", Weight: 1}}
 	route.MaxAttempts = max(1, route.MaxAttempts)
--- a/bhgate/jobs_test.go
+++ b/bhgate/jobs_test.go
@@ -50,7 +50,7 @@
 			jobs := &busyJobs{busyUntil: time.Now().Add(time.Hour)}
 			g := newJobsGate(t, jobs)
 			if silent {
-				g.policies.update(func(p *fakePolicies) { p.view.ProvenAt -= platformSilentAfter })
+				g.policies.update(func(p *fakePolicies) { p.silent, p.view.ProvenAt = true, p.view.ProvenAt-platformSilentAfter })
 			}
 			started := time.Now()
 			response, _, err := g.do(g.request("/a/x"))
