Gate: the log tells why a request that reached no upstream did not run

Callers saw 503 "service has no upstream left" for a request whose only upstream was listed and sound. The request's line in the log said no more, as the error of the last choice replaces that of an attempt that certainly did not run; upstream.rest tells that one, but not for which request. The line has now not_run with the error of the last such attempt: a dial that took too long, a refused connection, an upstream's refusal. What callers get is the same as before.

TestLogTellsWhyARequestDidNotRun fails without the field.

--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -80,6 +80,8 @@
 	origin *bhorigin.Origin
 	// sends counts the attempts that may have run.
 	sends int
+	// notRun is why the last of the other attempts failed; nil if there was none.
+	notRun error
 	// upstream is the ID of the instance of the last of these attempts.
 	upstream string
 	// version is that of the instance's software.
@@ -413,6 +415,9 @@
 	if parts := c.gate.config.Dialect.SharedParts(c.r.Header); len(parts) > 0 {
 		pairs = append(pairs, "parts", strings.Join(parts, ","))
 	}
+	if c.notRun != nil {
+		pairs = append(pairs, "not_run", c.notRun)
+	}
 	if err != nil {
 		bhlog.Problem(c.gate.config.Logger, event, err, pairs...)
 		return
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -99,6 +99,7 @@
 		}
 		if bhcode.From(err).Ran == bhcode.RanNo {
 			notRun++
+			c.notRun = err
 		}
 		lastErr = preferMayHaveRun(lastErr, err)
 		if ctx.Err() != nil {
--- a/bhgate/gate_test.go
+++ b/bhgate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhjob"
+	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 	"github.com/baobabhaven/baobabhaven/bhquota"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
@@ -212,6 +214,23 @@
 	assert.Equal(t, 1, alive.count())
 }
 
+// TestLogTellsWhyARequestDidNotRun guards against a request whose only upstream couldn't be
+// connected to, and whose log line says no more than that no upstream is left.
+func TestLogTellsWhyARequestDidNotRun(t *testing.T) {
+	dead := newUpstream(t, answerOK)
+	dead.server.Close()
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Unsafe}, dead)
+	var log bytes.Buffer
+	logger, err := bhlog.New(&log, bhlog.Info)
+	require.NoError(t, err)
+	g.gate.config.Logger = logger
+	assert.Equal(t, http.StatusServiceUnavailable, g.status(g.request("/a/x")))
+	g.server.Close() // waits until the request is logged
+	assert.Contains(t, log.String(), "event=request.failed")
+	assert.Contains(t, log.String(), "sends=0")
+	assert.Contains(t, log.String(), `not_run="upstream_lost (2006): connecting to `+dead.server.Listener.Addr().String())
+}
+
 func TestDrainingUpstreamGetsNoRequest(t *testing.T) {
 	u := newUpstream(t, answerOK)
 	g := newTestGate(t, bhpolicy.Route{}, u)
