bhgate: Cut no attempt in a stop that its upstream finishes in time

Found by a review. Clients of repeatable requests that came in a gateway's stop, and that it had taken as it would finish them, got 502 or 504 from it, some after a second attempt; outside of a stop they got their answer.

Cause: bound the time after which an upstream counts as silent to half of what is left of the stop, so that another attempt might follow. What is left is short, though, and the upstream sound: it was ended in the middle, rested, and the next attempt didn't fit. The end of the work ends the attempt in any case. The time is bound by half of the caller's deadline again.

TestStopCutsNoAttemptThatItFinishes gets 502 with the change out, and 200 with it.

--- a/bhgate/server_test.go
+++ b/bhgate/server_test.go
@@ -337,6 +337,23 @@
 	assert.LessOrEqual(t, left, 600, "the time that is handed on ends with the gate's")
 }
 
+// Guards against a stop that takes a request which it can finish, and then cuts its attempt as a silent
+// one, since the half of the time that is left is shorter than the answer takes.
+func TestStopCutsNoAttemptThatItFinishes(t *testing.T) {
+	slow := func(w http.ResponseWriter, r *http.Request, number int) {
+		time.Sleep(1800 * time.Millisecond)
+		answerOK(w, r, number)
+	}
+	first, second := newUpstream(t, slow), newUpstream(t, slow)
+	g := newTestGate(t, bhpolicy.Route{Kind: bhpolicy.Safe, LatencyObjective: 2 * time.Second, MaxAttempts: 2}, first, second)
+	for range 200 {
+		g.gate.durations.Observe("main", 1800*time.Millisecond)
+	}
+	g.gate.Drain(time.Now().Add(3 * time.Second))
+	assert.Equal(t, http.StatusOK, g.status(g.request("/a/x", withDeadline(time.Minute))))
+	assert.Equal(t, 1, first.count()+second.count())
+}
+
 // Guards against a request that may be repeated and whose client gets the gateway's own failure in a
 // stop, in place of the answer of the last upstream that it reached.
 func TestStopRelaysTheLastAnswerThatAnUpstreamGave(t *testing.T) {
--- a/bhgate/silence_timer.go
+++ b/bhgate/silence_timer.go
@@ -24,7 +24,7 @@
 	timeout := streamSilenceTimeout
 	if c.route.Kind == bhpolicy.Safe {
 		timeout = max(minSilenceTimeout, silenceTargets*c.route.LatencyObjective)
-		timeout = min(timeout, time.Until(c.workUntil())/2)
+		timeout = min(timeout, time.Until(c.deadline)/2)
 	}
 	return &silenceTimer{timer: time.AfterFunc(timeout, cancel), timeout: timeout}
 }
