bhentry: Tell callers of a running request when to ask again

Found by a review. A caller who sends a request with the idempotency key of a running one gets 409 still_running, and asks again until that one has ended (docs/CODES.md). Since the answer had no Retry-After.

Cause: Retry-After was dropped for all that may have run, so that nobody sends such a request again. Here the key makes that safe.

TestRequestThatMayHaveRunIsNotAnsweredLikeOneThatDidNot has the case, which fails without the mend.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -128,7 +128,8 @@
 	if mayHaveRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		status = http.StatusBadGateway // 429 and 503 would tell the caller that the request did not run
 	}
-	if failure.RetryAfter > 0 && !mayHaveRun {
+	// StillRunning is about an earlier request with the key, which makes asking again safe.
+	if failure.RetryAfter > 0 && (!mayHaveRun || failure.Code == bhcode.StillRunning) {
 		seconds := int(math.Ceil(failure.RetryAfter.Seconds()))
 		c.Response().Header().Set("Retry-After", strconv.Itoa(seconds))
 	}
--- a/bhentry/ran_test.go
+++ b/bhentry/ran_test.go
@@ -14,7 +14,8 @@
 )
 
 // TestRequestThatMayHaveRunIsNotAnsweredLikeOneThatDidNot guards against a status that has callers
-// send a request again that may have run: 503 or 429, or Retry-After.
+// send a request again that may have run: 503 or 429, or Retry-After. Only one with an idempotency
+// key may be sent again while it runs.
 func TestRequestThatMayHaveRunIsNotAnsweredLikeOneThatDidNot(t *testing.T) {
 	entry := &Entry{logger: bhlog.Nop()}
 	for _, c := range []struct {
@@ -28,6 +29,7 @@
 		{bhcode.Withheld, bhcode.RanYes, http.StatusBadGateway, ""},
 		{bhcode.RateExceeded, bhcode.RanUnknown, http.StatusBadGateway, ""},
 		{bhcode.KeyRevoked, bhcode.RanUnknown, http.StatusUnauthorized, ""},
+		{bhcode.StillRunning, bhcode.RanUnknown, http.StatusConflict, "1"},
 	} {
 		recorder := httptest.NewRecorder()
 		failure := bhcode.New(c.code, "").WithRan(c.ran).WithRetryAfter(time.Second)
