bhgate: Log how long after a stop's begin requests were cut

gate.cut said "context canceled" for every planned close since, which cancels the wait itself. It names the time since the stop began now.

--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -120,7 +120,8 @@
 	ctx, cancel := s.untilClose(started, plan)
 	defer cancel()
 	if !callers.Drain(ctx) {
-		bhlog.Problem(s.config.Logger, "gate.cut", ctx.Err(), "inflight", s.config.Gate.Inflight())
+		err := errors.Errorf("requests are left %s after the stop began, connections are closed", time.Since(started))
+		bhlog.Problem(s.config.Logger, "gate.cut", err, "inflight", s.config.Gate.Inflight())
 	}
 	_ = s.front.Close()
 	_ = s.ready.Close()
