Test of a crashing part: no two of its requests have the same prompt

TestCrashingPartIsNotSentForever passed with parts left out: all lethal requests of a case had the same whole prompt, which counts as crashing after three ends since, before any part does after five. With partThreshold at 5000 it passed, and it passed if whole answers cleared nothing, so that it guarded neither the parts nor the sound requests that share one with lethal ones. Faults of both would have gone unseen.

The last part now differs with each attempt, as that of real requests does. The bound of eight stays.

--- a/bhgate/crash_test.go
+++ b/bhgate/crash_test.go
@@ -205,20 +205,26 @@
 	}
 }
 
+// ownPart returns the parts with a last one that no other attempt has, so that no two
+// attempts have the same prompt.
+func ownPart(parts []string, attempt int) []string {
+	return append(slices.Clone(parts), fmt.Sprint("own-", attempt))
+}
+
 // prompt returns a change that sets the parts of the request's prompt.
 func prompt(parts ...string) func(*http.Request) {
 	return func(r *http.Request) { r.Header.Set("Parts", strings.Join(parts, ",")) }
 }
 
 // TestCrashingPartIsNotSentForever guards against requests with one part in their prompts
-// that end each upstream that answers them, no two of the same content. Requests with
+// that end each upstream that answers them, no two of the same content or prompt. Requests with
 // the same account and other parts are served at once, also while crashes go on.
 func TestCrashingPartIsNotSentForever(t *testing.T) {
 	for name, parts := range map[string][]string{
-		"first":                {lethalPart, "system", "own"},
-		"middle":               {"system", lethalPart, "own"},
-		"last but one of many": {"system", "tools", lethalPart, "own"},
-		"alone":                {lethalPart, "own"},
+		"first":                {lethalPart, "system"},
+		"middle":               {"system", lethalPart},
+		"last but one of many": {"system", "tools", lethalPart},
+		"alone":                {lethalPart},
 	} {
 		for _, query := range []string{"", "?late"} {
 			t.Run(name+query, func(t *testing.T) {
@@ -229,10 +235,10 @@
 				for attempt := range 25 {
 					path := fmt.Sprint("/a/", attempt, query)
 					s.round(attempt, func(id func(*http.Request)) {
-						_, _, err := g.do(g.request(path, id, withDeadline(time.Hour), prompt(parts...)))
+						_, _, err := g.do(g.request(path, id, withDeadline(time.Hour), prompt(ownPart(parts, attempt)...)))
 						_ = err // a broken answer is what the client of such a request gets
 					}, func(id func(*http.Request)) *http.Request {
-						return g.request(path+"ok", id, withDeadline(time.Hour), prompt(sound...))
+						return g.request(path+"ok", id, withDeadline(time.Hour), prompt(ownPart(sound, attempt)...))
 					})
 				}
 				s.checkEnds(maxRunsOfCrashingPart)
