bhgate: Don't count the time of slow clients as their route's in a stop

One client that took 3 s to send its body, or to read the rest of its answer, had its route refused to everyone early in a stop: callers got 503 and a new connection for requests that take milliseconds.

Cause: a request's duration was counted from its arrival to the end of the client's reading. It is compared with the time that is left after the body has been read, so it counted the body's time again.

It is now counted from the end of the body until the upstream's answer has been read. Up to 256 KB of an answer that is no stream are written to the client before that and still count.

--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -65,6 +65,8 @@
 	route   *bhpolicy.Route
 	account *bhpolicy.Account
 	body    []byte
+	// bodyReadAt is when the whole body had arrived.
+	bodyReadAt time.Time
 	// traits are the digests of the request's content, which is the same for each
 	// attempt of a client, and of the shared parts of its prompt.
 	traits bhcrash.Traits
@@ -196,10 +198,11 @@
 	return c.leaving()
 }
 
-// observeDuration adds how long the call took if an upstream answered it.
+// observeDuration adds how long the call took if an upstream answered it, without the time in
+// which the client sent its body. It is called before the wait for the client to read the answer.
 func (c *call) observeDuration(err error) {
 	if err == nil && c.sends > 0 && c.status < http.StatusInternalServerError {
-		c.gate.durations.Observe(c.route.Name, time.Since(c.arrived))
+		c.gate.durations.Observe(c.route.Name, time.Since(c.bodyReadAt))
 	}
 }
 
@@ -296,7 +299,7 @@
 	case err != nil:
 		return bhcode.Wrap(err, bhcode.BadRequest, "reading the body")
 	}
-	c.body = body
+	c.body, c.bodyReadAt = body, time.Now()
 	return nil
 }
 
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -207,7 +207,7 @@
 	c := newCall(g, w, r)
 	defer c.cancel()
 	defer c.recover()
-	err := c.endAnswer(c.serve())
+	err := c.serve()
 	c.observeDuration(err)
-	c.finish(err)
+	c.finish(c.endAnswer(err))
 }
