bhdrain: Let the longest of fewer than 100 durations count

While a gateway stopped, a route of which 51 to 99 durations were known took requests that may not be repeated although one in fifty had taken longer than twice what counted; they were cut at the end. Safe requests got 503 early in a stop, while there was time for them.

Cause: the longest of fewer than 100 durations was meant to count twice, but from 51 on the 99th percentile of them is the second longest. The factor also applied to requests that may be repeated, for which a cut costs no more than the time until then.

The longest one counts now, twice only for requests that may not be repeated; from 100 on the percentile counts, as before.

TestLongestOfFewRequestsCounts has one request of 3 s among 5 to 100. It fails with the old rule (5 to 99 known, repeatable; 51 to 99, not), with the factor for all, with the factor for none, and with the percentile in place of the longest one.

--- a/bhdrain/durations.go
+++ b/bhdrain/durations.go
@@ -12,8 +12,9 @@
 	window = 5 * time.Minute
 	// leastCount is how many durations tell how long a request will take.
 	leastCount = 5
-	// fullCount is from how many durations on the percentile is more than the longest one.
-	// That of fewer counts scarceFactor times.
+	// fullCount is how many durations it takes for the percentile. Of fewer the longest one
+	// counts, and scarceFactor times for requests that may not be repeated: one of them that is
+	// cut costs more than several that are refused.
 	fullCount    = 100
 	scarceFactor = 2
 	// percentile is that of the durations within which a request is expected to end. It is
@@ -51,9 +52,9 @@
 	_ = histogram.RecordValue(int64(min(took, durationMax) / durationUnit)) // fails only above durationMax
 }
 
-// usual returns the time within which almost all requests of the class were answered. It
+// usual returns the time within which a request of the class is expected to be answered. It
 // reports false if too few were.
-func (d *Durations[K]) usual(class K) (time.Duration, bool) {
+func (d *Durations[K]) usual(class K, repeatable bool) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	all := hdrhistogram.New(1, int64(durationMax/durationUnit), durationDigits)
@@ -62,11 +63,15 @@
 			all.Merge(part)
 		}
 	}
-	usual, count := time.Duration(all.ValueAtPercentile(percentile))*durationUnit, all.TotalCount()
-	if count < fullCount {
-		usual *= scarceFactor
+	count := all.TotalCount()
+	if count >= fullCount {
+		return time.Duration(all.ValueAtPercentile(percentile)) * durationUnit, true
 	}
-	return usual, count >= leastCount
+	longest := time.Duration(all.Max()) * durationUnit
+	if !repeatable {
+		longest *= scarceFactor
+	}
+	return longest, count >= leastCount
 }
 
 // Request is a request that arrives while the process stops.
@@ -86,7 +91,7 @@
 	if request.Left <= 0 || request.Deadline <= request.Left {
 		return request.Left > 0
 	}
-	if usual, known := d.usual(class); known {
+	if usual, known := d.usual(class, request.Repeatable); known {
 		return usual <= request.Left
 	}
 	return request.Repeatable
--- a/bhdrain/durations_test.go
+++ b/bhdrain/durations_test.go
@@ -61,3 +61,36 @@
 		assert.True(t, durations.Fits("mixed", late), "is dropped after two")
 	})
 }
+
+// Guards against one slow request whose class is refused or taken by the wrong rule while fewer
+// than fullCount are known: the percentile of 51 to 99 passes over the longest one.
+func TestLongestOfFewRequestsCounts(t *testing.T) {
+	const longest = 3 * time.Second
+	slack := longest / 10 // more than the resolution of what is kept
+	synctest.Test(t, func(t *testing.T) {
+		for _, count := range []int{leastCount, 20, 50, 51, 75, fullCount - 1, fullCount} {
+			for _, repeatable := range []bool{true, false} {
+				var durations Durations[string]
+				for i := range count - 1 {
+					durations.Observe("main", 100*time.Millisecond)
+					if i == count/2 {
+						durations.Observe("main", longest)
+					}
+				}
+				usual := longest
+				switch {
+				case count == fullCount:
+					usual = 100 * time.Millisecond
+				case !repeatable:
+					usual = 2 * longest
+				}
+				request := Request{Left: usual - slack, Deadline: time.Minute, Repeatable: repeatable}
+				if count < fullCount {
+					assert.False(t, durations.Fits("main", request), "%d known, repeatable: %t", count, repeatable)
+				}
+				request.Left = usual + slack
+				assert.True(t, durations.Fits("main", request), "%d known, repeatable: %t", count, repeatable)
+			}
+		}
+	})
+}
