bhgate: Test that a gateway learns durations and takes jobs in a stop

Callers would see requests refused in every stop that fit, and others taken and cut, if the gateway no longer observed how long its requests take; and submissions of jobs refused throughout a stop. No test of bhgate told: those of stops put durations in themselves, or had deadlines within the stop.

TestRequestsBeforeAStopTellWhatFits sends five real requests, stops the gateway, and expects 200 for an unsafe request that fits and 503, not sent, for a safe one that doesn't. Without Observe it sees 503 and 504, the latter sent. TestStopTakesSubmissionsOfJobs expects 202 for one whose deadline is after the stop; with Batch out of Repeatable it sees 503.

--- a/bhgate/durations_test.go
+++ b/bhgate/durations_test.go
@@ -71,6 +71,56 @@
 	}
 }
 
+// Guards against a gateway that doesn't learn from its requests how long they take, and so takes
+// in a stop what it can't finish, or refuses what it can.
+func TestRequestsBeforeAStopTellWhatFits(t *testing.T) {
+	const late = 300 * time.Millisecond // what work takes
+	for _, c := range []struct {
+		name  string
+		route bhpolicy.Route
+		path  string
+		want  int
+	}{
+		// If nothing were known, this one would be refused and the other one taken.
+		{"fits, may not be repeated", bhpolicy.Route{Kind: bhpolicy.Unsafe}, "/a/soon", http.StatusOK},
+		{"doesn't fit, may be repeated", bhpolicy.Route{Kind: bhpolicy.Safe}, "/a/late", http.StatusServiceUnavailable},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			upstream := newUpstream(t, work)
+			g := newTestGate(t, c.route, upstream)
+			const count = 5
+			var longest time.Duration
+			for range count {
+				started := time.Now()
+				require.Equal(t, http.StatusOK, g.status(g.request(c.path)))
+				longest = max(longest, time.Since(started))
+			}
+			require.Eventually(t, func() bool { return g.gate.Inflight() == 0 }, 5*time.Second, time.Millisecond)
+			left := max(time.Second, 4*longest)
+			if c.want != http.StatusOK {
+				left = late - 50*time.Millisecond
+			}
+			g.gate.Drain(time.Now().Add(left))
+			assert.Equal(t, c.want, g.status(g.request(c.path, withDeadline(time.Minute))))
+			if c.want == http.StatusOK {
+				assert.Equal(t, count+1, upstream.count())
+			} else {
+				assert.Equal(t, count, upstream.count(), "refused and sent")
+			}
+		})
+	}
+}
+
+// Guards against jobs that are refused throughout a stop: a client waits for the answer to its
+// submission for longer than the stop takes.
+func TestStopTakesSubmissionsOfJobs(t *testing.T) {
+	jobs := &fakeJobs{}
+	g := newJobsGate(t, jobs)
+	g.gate.Drain(time.Now().Add(5 * time.Second))
+	assert.Equal(t, http.StatusAccepted, g.status(g.request("/a/x", withID("job"), withDeadline(time.Minute))))
+	assert.Equal(t, "job", jobs.submission.ID)
+}
+
 // forwarding returns how many attempts at the first upstream have not ended.
 func (g *testGate) forwarding() int {
 	b := g.gate.config.Balancer
