--- a/bhgate/choose_upstream_test.go
+++ b/bhgate/choose_upstream_test.go
@@ -26,6 +26,9 @@
 	// callers are those of the announced requests.
 	callers []bhwire.Reserve
 
+	// reported, unless it is nil, gets a value for each fault.
+	reported chan struct{}
+
 	mu     sync.Mutex
 	faults []netip.AddrPort
 }
@@ -45,6 +48,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.faults = append(f.faults, runner)
+	if f.reported != nil {
+		f.reported <- struct{}{}
+	}
 }
 
 func (f *fakeEngineLoads) faultCount() int {
