Entry: its own pause is no silence of the sidecars

After a pause of an entry (a suspended or overloaded machine) callers would see 502 "contact with the upstream was lost" for requests that run, and 503 "no upstream can serve the request" for new ones, although all sidecars are sound. The check for silent sidecars skips the first check after a pause only. The next one may follow within milliseconds, as the ticker keeps its phase, before the heartbeats that came meanwhile are read; then it aborts the sessions. The choice of an upstream didn't take a pause into account at all. Silence counts now from the end of the pause at the earliest, in both places. A sidecar that fell silent just before the pause is found up to 2 s later.

This is one cause of TestCallersGetNoAnswerThatWasCutInItsHead failing on busy machines, where a whole process may stand still for 2 s.

--- a/bhentry/fleet.go
+++ b/bhentry/fleet.go
@@ -50,6 +50,9 @@
 	cancelSessions map[string]context.CancelFunc
 	sidecars       map[string]*sidecar
 	dialers        sync.WaitGroup
+	// checkedAt is the time of the last check for silent sidecars, and resumedAt when a check
+	// found that this process had been paused.
+	checkedAt, resumedAt time.Time
 }
 
 // sidecar is the state of one sidecar as this entry knows it.
@@ -312,12 +315,12 @@
 }
 
 // usable reports whether new requests can be sent to the host: it has a live
-// session, isn't leaving and sent a heartbeat within beatTimeout.
+// session, isn't leaving and hasn't been silent for longer than beatTimeout.
 func (f *fleet) usable(host string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s := f.sidecars[host]
-	return s != nil && s.link != nil && !s.reported.Leaving && time.Since(s.lastBeat) <= beatTimeout
+	return s != nil && s.link != nil && !s.reported.Leaving && f.silence(s, time.Now()) <= beatTimeout
 }
 
 // reachesAllUpstreams reports whether each configured upstream that isn't
