--- a/bhgate/cut_head_test.go
+++ b/bhgate/cut_head_test.go
@@ -89,7 +89,6 @@
 // ask sends one request and passes the answer to check. It returns false, without a call of
 // check, if the upstream didn't get the request and the answer says so.
 func (c *cutAnswerCase) ask(g *testGate, path, id, text string, check func(status int, body string, err error)) bool {
-	g.policies.update(func(p *fakePolicies) { p.view.ProvenAt = g.clock.Now() }) // the cuts take longer than a proof lasts
 	request := g.request(path, withID(id), withDeadline(time.Minute), func(r *http.Request) {
 		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(text)), int64(len(text))
 	})
