--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -25,12 +25,19 @@
 
 // process is one of the real programs, with a proxy of its own to the store.
 type process struct {
-	role     string
-	name     string
-	front    string
-	settings string
-	store    *proxy
-	log      *os.File
+	role  string
+	name  string
+	front string
+	// ready, admin and peer are its other addresses.
+	ready, admin, peer string
+	settings           string
+	// arguments follow the role, and environment is added to that of the test.
+	arguments   []string
+	environment []string
+	// descriptors is the limit of open files; zero leaves it as it is.
+	descriptors int
+	store       *proxy
+	log         *os.File
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -99,9 +106,15 @@
 		role:     role,
 		name:     name,
 		front:    fmt.Sprintf("%s:%d", ip, ports[0]),
+		ready:    fmt.Sprintf("%s:%d", ip, ports[1]),
+		peer:     fmt.Sprintf("%s:%d", ip, ports[2]),
+		admin:    fmt.Sprintf("%s:%d", ip, ports[3]),
 		settings: filepath.Join(t.TempDir(), "settings.toml"),
 		store:    newProxy(t, "127.0.0.1", w.address),
+
+		descriptors: w.descriptors,
 	}
+	p.environment = []string{"BAOBABHAVEN_BOOT=" + p.settings}
 	text := fmt.Sprintf(`node = %q
 ip = %q
 zone = "z"
@@ -109,8 +122,8 @@
 internalPorts = [%d,%d]
 [listen]
 front = %q
-readiness = "%s:%d"
-[bounds]
+readiness = %q
+%s[bounds]
 graceS = %g
 configPropagationMs = 2000
 revocationMs = %d
@@ -121,10 +134,16 @@
 statusS = 120
 [platform]
 address = %q
-`, name, ip, app, ports[2], ports[3], p.front, ip, ports[1], drainTime.Seconds(), revocation.Milliseconds(),
+`, name, ip, app, ports[2], ports[3], p.front, p.ready, w.limits, drainTime.Seconds(), revocation.Milliseconds(),
 		quotaWindow.Seconds(), quotaOver, int(quotaSlack), cancelBound.Milliseconds(), p.store.address())
 	require.NoError(t, os.WriteFile(p.settings, []byte(text), 0o600))
-	log, err := os.Create(filepath.Join(logDir(t), name+".log"))
+	p.run(t)
+	return p
+}
+
+// run starts the process with a log of its own, and ends it after the test.
+func (p *process) run(t *testing.T) {
+	log, err := os.Create(filepath.Join(logDir(t), p.name+".log"))
 	require.NoError(t, err)
 	p.log = log
 	p.start(t)
@@ -132,7 +151,6 @@
 		p.kill()
 		log.Close()
 	})
-	return p
 }
 
 // logDir keeps the processes' logs if BAOBAB_SOAK_LOGS names a directory.
@@ -146,8 +164,12 @@
 }
 
 func (p *process) start(t *testing.T) {
-	command := exec.Command(program, p.role)
-	command.Env = append(os.Environ(), "BAOBABHAVEN_BOOT="+p.settings)
+	command := exec.Command(program, append([]string{p.role}, p.arguments...)...)
+	if p.descriptors > 0 {
+		shell := fmt.Sprintf(`ulimit -n %d && exec "$0" "$@"`, p.descriptors)
+		command = exec.Command("sh", append([]string{"-c", shell, program, p.role}, p.arguments...)...)
+	}
+	command.Env = append(os.Environ(), p.environment...)
 	command.Stdout, command.Stderr = p.log, p.log
 	require.NoError(t, command.Start())
 	ended := make(chan struct{})
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -123,7 +123,13 @@
 	// address is that of the store, and ports are those of each process on its host.
 	address string
 	ports   []int
-	fronts  []string
+	// limits is a section of the processes' settings, and descriptors their limit of these; without
+	// them they have none.
+	limits      string
+	descriptors int
+	// callerLimits are those of the configuration; nil if it has none.
+	callerLimits map[string]any
+	fronts       []string
 	// limiting is set while an engine names a limit.
 	limiting atomic.Bool
 
@@ -140,6 +146,13 @@
 
 // newWorld starts the processes over a store and engines.
 func newWorld(t *testing.T, seed uint64, gateways, engines int) *world {
+	w := newOutside(t, seed, engines)
+	w.startAll(gateways)
+	return w
+}
+
+// newOutside starts the store and the engines.
+func newOutside(t *testing.T, seed uint64, engines int) *world {
 	w := &world{t: t, record: newRecorder(), store: newStoreServer(seed), drained: make(map[string]bool),
 		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}}}
 	server := httptest.NewServer(w.store)
@@ -154,6 +167,11 @@
 		}
 		w.list(i, "ready")
 	}
+	return w
+}
+
+// startAll starts gateways, and a runner beside each engine.
+func (w *world) startAll(gateways int) {
 	w.configure()
 	for i := range gateways {
 		p := w.newProcess("gateway", i, "")
@@ -163,7 +181,6 @@
 	for i, e := range w.engines {
 		w.processes = append(w.processes, w.newProcess("runner", i, e.address))
 	}
-	return w
 }
 
 func play(t *testing.T, seed uint64) {
@@ -460,7 +477,9 @@
 	for name, keys := range w.keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys, "ratePerS": rates[name], "burst": rates[name]})
 	}
-	require.NoError(w.t, w.store.put("op", "config", map[string]any{
-		"version": w.version, "routes": routes, "tenants": tenants, "services": services,
-	}))
+	config := map[string]any{"version": w.version, "routes": routes, "tenants": tenants, "services": services}
+	if w.callerLimits != nil {
+		config["limits"] = w.callerLimits
+	}
+	require.NoError(w.t, w.store.put("op", "config", config))
 }
