Logs: lines that callers cause are bounded

Callers who send refused requests one after the other on 1000 connections made a sidecar write 314 MB of warnings in a few seconds and an entry 16 to 80, a gateway 50; a target of 60 KiB made a line of that length, and 4,096 of them may wait for a slow output. Entries and sidecars wrote theirs at once, so a slow output would have held up requests.

Warnings were not sampled at all, texts were written as long as they came, and the queue of lines had a bound of its number only.

Warnings of one event pass whole up to 2,000 a second, then one in 20; texts of over 1 KiB are cut; the queue holds 4 MiB; entries and sidecars queue too.

--- a/bhcmd/daemon.go
+++ b/bhcmd/daemon.go
@@ -77,7 +77,9 @@
 
 // serveDaemon runs the daemon that the settings describe until ctx is done.
 func serveDaemon(ctx context.Context, settings bhconf.Settings, logs io.Writer) error {
-	logger, err := bhlog.New(logs, settings.Log)
+	output := bhlog.NewAsyncWriter(logs)
+	defer func() { _ = output.Close() }()
+	logger, err := bhlog.New(output, settings.Log)
 	if err != nil {
 		return err
 	}
--- a/bhlog/async.go
+++ b/bhlog/async.go
@@ -11,6 +11,8 @@
 const (
 	// asyncQueueLines is the queue size: how many lines may wait for a slow output.
 	asyncQueueLines = 4096
+	// asyncQueueBytes bounds the memory of these lines.
+	asyncQueueBytes = 4 << 20
 	// reportInterval is how often the number of dropped lines is logged.
 	reportInterval = time.Second
 )
@@ -21,6 +23,7 @@
 type AsyncWriter struct {
 	output    io.Writer
 	lines     chan []byte
+	queued    atomic.Int64 // bytes
 	dropped   atomic.Int64
 	wg        sync.WaitGroup
 	closeOnce sync.Once
@@ -38,9 +41,16 @@
 // Write queues a copy of one line, or drops the line if the queue is full. It
 // always returns len(line) and no error.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	size := int64(len(line))
+	if w.queued.Add(size) > asyncQueueBytes {
+		w.queued.Add(-size)
+		w.dropped.Add(1)
+		return len(line), nil
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
+		w.queued.Add(-size)
 		w.dropped.Add(1)
 	}
 	return len(line), nil
@@ -66,7 +76,7 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.writeLine(line)
+			w.writeQueued(line)
 		case <-ticker.C:
 			if dropped := w.Dropped(); dropped != reported {
 				w.writeLine(fmt.Appendf(nil, "ts=%s level=warn event=log.dropped lines=%d total=%d\n",
@@ -85,13 +95,18 @@
 	for {
 		select {
 		case line := <-w.lines:
-			w.writeLine(line)
+			w.writeQueued(line)
 		default:
 			return
 		}
 	}
 }
 
+func (w *AsyncWriter) writeQueued(line []byte) {
+	w.writeLine(line)
+	w.queued.Add(-int64(len(line)))
+}
+
 // writeLine writes a line to the output. A write error can't be logged, because
 // the output is the log itself, so the line counts as dropped.
 func (w *AsyncWriter) writeLine(line []byte) {
--- a/bhlog/log.go
+++ b/bhlog/log.go
@@ -23,14 +23,15 @@
 )
 
 // New returns a logfmt logger that writes lines at or above the named level to
-// w and samples repeated lines (see NewSampler). An empty name means Info; an
+// w and samples repeated lines (see NewSampler). Texts of more than maxValue
+// bytes are cut. An empty name means Info; an
 // unknown name is an error.
 func New(w io.Writer, name string) (Logger, error) {
 	allow, err := levelOption(name)
 	if err != nil {
 		return nil, err
 	}
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	var logger Logger = clipper{log.NewLogfmtLogger(log.NewSyncWriter(w))}
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	return level.NewFilter(NewSampler(logger), allow), nil
 }
--- a/bhlog/sample.go
+++ b/bhlog/sample.go
@@ -15,6 +15,8 @@
 	// per second.
 	sampleThreshold = 200
 	sampleRate      = 20
+	// warningThreshold is that of lines at warning level, some of which callers cause.
+	warningThreshold = 2000
 	// samplePeriod is the period over which the lines of a group are counted.
 	samplePeriod = time.Second
 )
@@ -26,12 +28,21 @@
 // lineGroup identifies the lines that are sampled together: those with the same
 // event and the same value of the sampled field.
 type lineGroup struct {
-	event string
-	value string
+	event   string
+	value   string
+	warning bool
 }
 
-// sampler omits a part of the repeated lines. It passes on all lines at warning
-// level and above, and the first line of each group in each samplePeriod.
+// threshold returns how many lines of the group pass in each samplePeriod.
+func (g lineGroup) threshold() int {
+	if g.warning {
+		return warningThreshold
+	}
+	return sampleThreshold
+}
+
+// sampler omits a part of the repeated lines. It passes on all lines at error
+// level, and the first line of each group in each samplePeriod.
 type sampler struct {
 	next log.Logger
 
@@ -42,7 +53,8 @@
 
 // NewSampler returns a logger that passes a sample of repeated lines on to next.
 // At most once per second it reports the number of omitted lines in log.sampled
-// lines. It doesn't sample lines at warning level and above.
+// lines. It doesn't sample lines at error level, and warnings from 2000 of a group in a
+// second (warningThreshold) only.
 func NewSampler(next Logger) Logger { return &sampler{next: next, counts: make(map[lineGroup]int)} }
 
 // Log implements log.Logger. It returns the error of the next logger.
@@ -76,7 +88,7 @@
 	}
 	s.counts[group]++
 	count := s.counts[group]
-	return count <= sampleThreshold || count%sampleRate == 0, omitted
+	return count <= group.threshold() || count%sampleRate == 0, omitted
 }
 
 // omittedLines returns how many lines of each group were omitted, given how many
@@ -84,21 +96,22 @@
 func omittedLines(counts map[lineGroup]int) map[lineGroup]int {
 	omitted := make(map[lineGroup]int)
 	for group, count := range counts {
-		if count > sampleThreshold {
-			omitted[group] = count - sampleThreshold - (count/sampleRate - sampleThreshold/sampleRate)
+		if threshold := group.threshold(); count > threshold {
+			omitted[group] = count - threshold - (count/sampleRate - threshold/sampleRate)
 		}
 	}
 	return omitted
 }
 
 // groupOf returns the group of a line and whether the line may be omitted, which
-// is not so at warning level and above.
+// is not so at error level.
 func groupOf(pairs []any) (group lineGroup, canSample bool) {
 	bestRank := len(sampledFields)
 	for i := 0; i+1 < len(pairs); i += 2 {
 		switch key := pairs[i]; key {
 		case level.Key():
-			if pairs[i+1] != level.InfoValue() && pairs[i+1] != level.DebugValue() {
+			group.warning = pairs[i+1] == level.WarnValue()
+			if pairs[i+1] == level.ErrorValue() {
 				return group, false
 			}
 		case "event":
--- a/bhlog/sample_test.go
+++ b/bhlog/sample_test.go
@@ -49,6 +49,47 @@
 	})
 }
 
+// Callers cause warnings, too.
+func TestRepeatedWarningsAreSampledBeyondTheirThreshold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var output bytes.Buffer
+		logger := newInfoLogger(t, &output)
+		const lineCount = 5 * warningThreshold
+		for range lineCount {
+			Problem(logger, "link.refused", errors.New("no"))
+		}
+		kept := strings.Count(output.String(), "event=link.refused")
+		assert.Equal(t, warningThreshold+(lineCount-warningThreshold)/sampleRate, kept)
+		time.Sleep(samplePeriod)
+		Problem(logger, "link.refused", errors.New("no"))
+		assert.Contains(t, output.String(), fmt.Sprintf("event=log.sampled of=link.refused key= left_out=%d", lineCount-kept))
+	})
+}
+
+// Guards against lines, and a queue of them, that are as long as what callers send.
+func TestLongTextsAreCut(t *testing.T) {
+	var output bytes.Buffer
+	text := strings.Repeat("a", 100_000)
+	Problem(newInfoLogger(t, &output), "request.failed", errors.New(text), "request", text, "route", strings.Repeat("b", maxValue))
+	assert.Less(t, output.Len(), 4*maxValue)
+	assert.Contains(t, output.String(), "(100000 bytes)")
+	assert.Contains(t, output.String(), "route="+strings.Repeat("b", maxValue)+" ", "others stay as they are")
+}
+
+func TestQueueOfLinesIsBoundedInBytes(t *testing.T) {
+	output := &gatedWriter{open: make(chan struct{})}
+	w := NewAsyncWriter(output)
+	line := bytes.Repeat([]byte("a"), asyncQueueBytes/16)
+	for range 64 {
+		_, err := w.Write(line)
+		require.NoError(t, err)
+	}
+	assert.GreaterOrEqual(t, w.Dropped(), int64(64-16-1))
+	close(output.open)
+	require.NoError(t, w.Close())
+	assert.Zero(t, w.queued.Load())
+}
+
 func TestAsyncWriterReportsDroppedLines(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		output := &gatedWriter{open: make(chan struct{})}
