Links: a peer that hasn't proved who it is sends 8 KiB at most

200 callers that opened a link and sent a message of 8 MiB instead of the handshake made an entry take 1,686 MiB and a sidecar 1,681, on machines of 112.

The limit of a session's messages, 32 MiB, was set before the handshake, and a message is read as a whole.

Until a peer has proved that it holds a secret of the fleet, its messages may have 8 KiB; a hello or a proof has some hundred bytes.

--- a/bhlink/session.go
+++ b/bhlink/session.go
@@ -36,6 +36,8 @@
 	// coalesceBytes is the size at which a message takes no more queued frames.
 	coalesceBytes   = 32 << 10
 	maxMessageBytes = 2*bhwire.MaxBody + coalesceBytes
+	// maxHandshakeBytes is the largest message of a peer that hasn't proved who it is.
+	maxHandshakeBytes = 8 << 10
 )
 
 // Config configures one side of a session.
@@ -87,7 +89,7 @@
 	if response != nil && response.Body != nil {
 		defer response.Body.Close()
 	}
-	conn.SetReadLimit(maxMessageBytes)
+	conn.SetReadLimit(maxHandshakeBytes)
 	config.Self.Class = class
 	peer, err := handshake(ctx, conn, config, true)
 	if err != nil {
@@ -107,7 +109,7 @@
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.LinkRefused, "accepting")
 	}
-	conn.SetReadLimit(maxMessageBytes)
+	conn.SetReadLimit(maxHandshakeBytes)
 	ctx, cancel := context.WithTimeout(r.Context(), handshakeTimeout)
 	defer cancel()
 	peer, err := handshake(ctx, conn, config, false)
@@ -119,6 +121,7 @@
 }
 
 func newSession(conn *websocket.Conn, peer bhwire.Hello, config Config) *Session {
+	conn.SetReadLimit(maxMessageBytes)
 	size := config.Queue
 	if size == 0 {
 		size = defaultQueueFrames
