Ports: connections and heads of callers are bounded by the machine

Callers ended processes, or took all their descriptors, at each of the nine ports. With 400 descriptors, 600 connections took all: "too many open files", also for the process's own.

Causes: no server bounded its connections; a head's bytes were limited, but not what its fields become in memory, nor the sum over all connections; the readiness port had the library's bounds, and no port a bound on the rest of a body that its handler doesn't read or on answers that aren't read; the kernel holds up to some megabytes of a connection that isn't read.

Package bhguard decides, without sockets, which connections a port keeps and how much memory heads may take; bhserve applies it around http.Server at all ports of all daemons, which the settings of the gateway and the runner, or GOMEMLIMIT and the limit of open files, give their bounds. The connection that has brought no request for longest ends first, idle ones next, requests in flight never. Heads have 16 KiB each and share an eighth of the memory beyond; the one that has been arriving for longest gives way.

Ruled out: a bound on the number of fields, which a request inside the pages' limits would meet; waiting with accepts, which has ordinary callers wait behind a crowd.

--- a/bhcmd/daemon.go
+++ b/bhcmd/daemon.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhentry"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmetric"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
@@ -72,11 +73,11 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	return serveDaemon(ctx, settings, factory.Streams.Err)
+	return serveDaemon(ctx, settings, processMachine().Limits(), factory.Streams.Err)
 }
 
 // serveDaemon runs the daemon that the settings describe until ctx is done.
-func serveDaemon(ctx context.Context, settings bhconf.Settings, logs io.Writer) error {
+func serveDaemon(ctx context.Context, settings bhconf.Settings, limits bhguard.Limits, logs io.Writer) error {
 	output := bhlog.NewAsyncWriter(logs)
 	defer func() { _ = output.Close() }()
 	logger, err := bhlog.New(output, settings.Log)
@@ -97,6 +98,7 @@
 			Logger:      logger,
 			Metrics:     metrics,
 			Platform:    client.Platform(),
+			Limits:      limits,
 			Incarnation: incarnation,
 		}).Run(ctx)
 	}
@@ -105,6 +107,7 @@
 		Logger:      logger,
 		Metrics:     metrics,
 		Platform:    client.Platform(),
+		Limits:      limits,
 		Incarnation: incarnation,
 	}).Run(ctx)
 }
--- a/bhcmd/dev.go
+++ b/bhcmd/dev.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhkey"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhstand"
@@ -88,8 +89,10 @@
 	if err := fleet.push(ctx); err != nil {
 		return err
 	}
+	machine := processMachine()
+	share := bhguard.Machine{Memory: machine.Memory / int64(len(fleet.daemons)), Descriptors: machine.Descriptors / len(fleet.daemons)}
 	for _, settings := range fleet.daemons {
-		group.Go(func() error { return serveDaemon(ctx, settings, factory.Streams.Err) })
+		group.Go(func() error { return serveDaemon(ctx, settings, share.Limits(), factory.Streams.Err) })
 	}
 	group.Go(func() error {
 		if err := fleet.await(ctx); err != nil {
--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/baobabhaven/baobabhaven/bhevidence"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhgate"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhhost"
 	"github.com/baobabhaven/baobabhaven/bhjob"
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -44,9 +45,6 @@
 	// memoryShare is the part of the memory limit that the heap may take before
 	// the collector runs more often; the rest is for stacks and socket buffers.
 	memoryShare = 0.7
-	// heldPart is the part of the memory limit, as its inverse, that a gateway may hold
-	// for its clients.
-	heldPart = 4
 	// gatewayPolls and runnerPolls are the polls of the configuration and of the
 	// upstreams within the time in which a change must be in force. A runner hears
 	// from its engine itself that it is draining.
@@ -152,6 +150,9 @@
 	// crashes is the registry of the requests that crash upstreams; nil before the
 	// role's parts are built.
 	crashes *bhevidence.Registry
+	// limits bound what callers can make the process hold, at its ports.
+	limits bhguard.Limits
+	ports  *bhserve.Ports
 }
 
 func runHosted(ctx context.Context, factory *Factory, role hostedRole, options HostOptions) error {
@@ -189,6 +190,7 @@
 	tree := bhtree.New(bhtree.Config{Name: role.name, Logger: logger})
 	tree.AddPersistent("settings", func(ctx context.Context) error { return file.Run(ctx, reload, logger) })
 	tree.AddPersistent("admin", h.admin(output, options.AdminPort))
+	tree.AddPersistent("ports", h.ports.Report)
 	tree.AddPersistent("pool", h.pool.Run)
 	role.build(h, tree)
 	err = tree.Run(ctx)
@@ -197,11 +199,14 @@
 }
 
 func newHost(file *bhhost.File, interval time.Duration, metrics *bhmetric.Metrics, logger bhlog.Logger) *hosted {
+	limits := callerLimits(file.Current())
 	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }, Scope: metrics.Scope})
 	clock := bhclock.Boot{}
 	return &hosted{
 		file:    file,
 		store:   store,
+		limits:  limits,
+		ports:   bhserve.NewPorts(bhserve.PortsConfig{Limits: limits, Logger: logger, Scope: metrics.Scope}),
 		metrics: metrics,
 		logger:  logger,
 		clock:   clock,
@@ -238,13 +243,26 @@
 	}
 }
 
-// clientBudget returns the budget of what a gateway holds for its clients, or nil if the
-// settings don't limit its memory.
-func clientBudget(settings bhhost.Settings) *bhspool.Budget {
+// callerLimits returns the bounds of what callers can make the process hold, by its settings
+// where they name a limit.
+func callerLimits(settings bhhost.Settings) bhguard.Limits {
+	machine := processMachine()
+	if settings.Memory > 0 {
+		machine.Memory = settings.Memory
+	}
+	if settings.Descriptors > 0 {
+		machine.Descriptors = min(machine.Descriptors, settings.Descriptors)
+	}
+	return machine.Limits()
+}
+
+// clientBudget returns the budget of bodies and unread answers, or nil if the settings don't
+// limit the process's memory.
+func clientBudget(settings bhhost.Settings, limits bhguard.Limits) *bhspool.Budget {
 	if settings.Memory <= 0 {
 		return nil
 	}
-	return bhspool.New(bhspool.Config{Total: settings.Memory / heldPart})
+	return bhspool.New(bhspool.Config{Total: limits.Bodies})
 }
 
 // gateway adds the parts of a gateway to the tree.
@@ -291,7 +309,7 @@
 		Crashes:     h.crashes,
 		Limits:      limits,
 		Admission:   h.admission,
-		Budget:      clientBudget(settings),
+		Budget:      clientBudget(settings, h.limits),
 		EngineLoads: &bhgate.PeerEngineLoads{Socket: socket, Logger: h.logger},
 		Pool:        h.pool,
 		Clock:       h.clock,
@@ -299,14 +317,7 @@
 		Scope:       h.metrics.Scope,
 		Revocation:  func() time.Duration { return h.file.Current().Revocation },
 	})
-	server := bhgate.NewServer(bhgate.ServerConfig{
-		Gate:   gate,
-		Front:  settings.Front,
-		Ready:  settings.Ready,
-		Drain:  func() time.Duration { return h.file.Current().Drain },
-		Index:  h.index,
-		Logger: h.logger,
-	})
+	server := h.gateServer(gate)
 	serving, served := context.WithCancel(context.Background())
 	tree.Add("serve", func(ctx context.Context) error {
 		defer served()
@@ -322,6 +333,20 @@
 	tree.AddPersistent("gossip", outlive(serving, h.crashes.Gossip))
 }
 
+// gateServer returns the server of the gate at the addresses of the settings.
+func (h *hosted) gateServer(gate *bhgate.Gate) *bhgate.Server {
+	settings := h.file.Current()
+	return bhgate.NewServer(bhgate.ServerConfig{
+		Gate:   gate,
+		Ports:  h.ports,
+		Front:  settings.Front,
+		Ready:  settings.Ready,
+		Drain:  func() time.Duration { return h.file.Current().Drain },
+		Index:  h.index,
+		Logger: h.logger,
+	})
+}
+
 // outlive runs a child until the other context is done, and holds the tree
 // until then.
 func outlive(other context.Context, child bhtree.Run) bhtree.Run {
@@ -433,11 +458,10 @@
 		return nil
 	})
 	return func(ctx context.Context) error {
-		listener, err := net.Listen("tcp", address)
+		listeners, err := bhserve.Listen(address)
 		if err != nil {
 			return errors.Wrap(err, "metrics")
 		}
-		server := bhserve.NewServer(ctx, e)
-		return bhserve.Run(server, listener)(ctx)
+		return h.ports.Operators(listeners[0], e).Run(ctx)(ctx)
 	}
 }
--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -14,12 +14,19 @@
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhserve"
 )
 
-// maxBodyBytes is the largest request body that readBody accepts.
-const maxBodyBytes = 4 << 20
+const (
+	// maxBodyBytes is the largest request body that readBody accepts.
+	maxBodyBytes = 4 << 20
+	// headCopies is how many copies of a request's head the entry makes to pass it on.
+	headCopies = 4
+	// noRoomRetryAfter is sent with requests for which there is no memory.
+	noRoomRetryAfter = time.Second
+)
 
 const contentTypeEventStream = "text/event-stream"
 
@@ -55,7 +62,7 @@
 			defer release()
 			defer endReading(ctx, c)()
 			c.SetRequest(c.Request().WithContext(ctx))
-			err = next(c)
+			err = e.holdRequest(c, next)
 			if cause := cancelCause(ctx); cause != nil && bhcode.Is(err, bhcode.BadRequest) {
 				err = cause // its body was still arriving
 			}
@@ -68,6 +75,20 @@
 	}
 }
 
+// holdRequest serves the request if there is memory for its head.
+func (e *Entry) holdRequest(c echo.Context, next echo.HandlerFunc) error {
+	request := c.Request()
+	if !bhserve.HoldHead(request.Context(), headCopies*bhguard.CopyCost(request)) {
+		return noRoom("a head of %d fields", len(request.Header))
+	}
+	return next(c)
+}
+
+// noRoom returns the error of a request for which the entry has no memory.
+func noRoom(format string, values ...any) error {
+	return bhcode.New(bhcode.Overloaded, "the entry holds too much for its callers to take "+format, values...).WithRetryAfter(noRoomRetryAfter)
+}
+
 // endReading has reads of the request's body fail once ctx is done. The caller must call
 // stop before the handler returns.
 func endReading(ctx context.Context, c echo.Context) (stop func()) {
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -17,6 +17,7 @@
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
 	"github.com/baobabhaven/baobabhaven/bhevidence"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhkey"
 	"github.com/baobabhaven/baobabhaven/bhlimit"
 	"github.com/baobabhaven/baobabhaven/bhlink"
@@ -38,6 +39,8 @@
 	Logger   bhlog.Logger
 	Metrics  *bhmetric.Metrics
 	Platform bhplatform.Platform
+	// Limits bound what callers can make the process hold; the zero value means no bounds.
+	Limits bhguard.Limits
 	// Incarnation is a number that is higher at each start of the process, so that
 	// peers ignore messages of earlier starts.
 	Incarnation uint64
@@ -64,7 +67,6 @@
 	readiness       readiness
 	leaving         atomic.Bool
 	departure       *bhdrain.Departure
-	server          *http.Server
 	callers         *bhserve.CallerListener
 }
 
@@ -116,13 +118,14 @@
 	}
 	servingCtx, stop := context.WithCancel(context.Background())
 	defer stop()
-	e.callers = bhserve.NewCallerListener(bhserve.CallerListenerConfig{Listener: listeners[0], IdleTimeout: func() time.Duration { return callerIdleTimeout }})
-	e.server = bhserve.NewServer(servingCtx, e.callerHandler())
-	e.server.IdleTimeout = bhserve.IdleTimeoutPlaceholder
+	ports := bhserve.NewPorts(bhserve.PortsConfig{Limits: e.config.Limits, Logger: e.logger, Scope: e.config.Metrics.Scope})
+	callers := ports.Callers(bhserve.CallerListenerConfig{Listener: listeners[0], IdleTimeout: func() time.Duration { return callerIdleTimeout }}, e.callerHandler())
+	e.callers = callers.Callers
 	supervisor := bhtree.New(bhtree.Config{Name: "entry", Logger: e.logger})
-	supervisor.Add("callers", bhserve.Run(e.server, e.callers))
-	supervisor.Add("link", bhserve.Run(bhserve.NewServer(servingCtx, http.HandlerFunc(e.acceptControl)), listeners[1]))
-	supervisor.Add("admin", bhserve.Run(bhserve.NewServer(servingCtx, e.adminHandler()), listeners[2]))
+	supervisor.Add("callers", callers.Run(servingCtx))
+	supervisor.Add("link", ports.Links(listeners[1], http.HandlerFunc(e.acceptControl)).Run(servingCtx))
+	supervisor.Add("admin", ports.Operators(listeners[2], e.adminHandler()).Run(servingCtx))
+	supervisor.AddPersistent("ports", ports.Report)
 	supervisor.AddRestarted("sync", e.syncNode.Run)
 	supervisor.AddRestarted("running", e.runningRequests.Run)
 	supervisor.AddRestarted("fleet", e.fleet.followHosts)
@@ -173,6 +176,7 @@
 		_ = session.Close()
 		return
 	}
+	bhserve.Keep(r.Context())
 	err = e.mesh.Serve(r.Context(), session)
 	bhlog.Trace(e.logger, "link.end", "peer", session.Peer.Host, "err", err)
 }
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -137,6 +137,9 @@
 	if err := c.admit(); err != nil {
 		return err
 	}
+	if err := c.holdHead(); err != nil {
+		return err
+	}
 	if c.route == nil {
 		return c.serveJobCall()
 	}
--- a/bhgate/hold.go
+++ b/bhgate/hold.go
@@ -10,9 +10,14 @@
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhforward"
+	"github.com/baobabhaven/baobabhaven/bhguard"
+	"github.com/baobabhaven/baobabhaven/bhserve"
 	"github.com/baobabhaven/baobabhaven/bhspool"
 )
 
+// headCopies is how many copies of a request's head the gateway makes to forward it.
+const headCopies = 3
+
 // bodyPiece is by how many bytes what is held for a body of unknown length grows.
 const bodyPiece = 32 << 10
 
@@ -56,6 +61,15 @@
 	return limit
 }
 
+// holdHead takes memory for the copies of the request's head. It returns an Overloaded error if
+// there is no room.
+func (c *call) holdHead() error {
+	if !bhserve.HoldHead(c.r.Context(), headCopies*bhguard.CopyCost(c.r)) {
+		return bhcode.New(bhcode.Overloaded, "the gateway holds too much for its clients to take a head of %d fields", len(c.r.Header)).WithRetryAfter(unavailableRetryAfter)
+	}
+	return nil
+}
+
 // readHeld reads the request's body, of limit bytes at most, as far as the gateway may
 // hold it. It returns an Overloaded error if not, and a timeout once the call's deadline
 // has passed.
@@ -87,6 +101,7 @@
 		if err := c.holdBody(c.r.ContentLength); err != nil {
 			return nil, err
 		}
+		bhserve.ExpectBody(c.r.Context(), c.r.ContentLength)
 		body := make([]byte, c.r.ContentLength)
 		_, err := io.ReadFull(source, body)
 		return body, err
--- a/bhgate/server_test.go
+++ b/bhgate/server_test.go
@@ -124,7 +124,7 @@
 		Gate: s.gate, Front: s.front, Ready: freeAddress(t), Drain: drain,
 		Index: func() *bhpolicy.Index { return s.policies.View().Index }, Logger: bhlog.Nop(),
 	})
-	server.front.Handler = s
+	server.handler = s
 	go func() { s.done <- server.Run(ctx) }()
 	t.Cleanup(stop)
 	require.Eventually(t, func() bool {
--- a/bhhost/settings.go
+++ b/bhhost/settings.go
@@ -33,10 +33,11 @@
 	// Engine is the address of the upstream on the host of a runner.
 	Engine string
 
-	// Cores is the number of CPU cores and Memory the bytes of memory for the
-	// process. Zero means that no limit is set.
-	Cores  int
-	Memory int64
+	// Cores is the number of CPU cores, Memory the bytes of memory and Descriptors the number
+	// of open files for the process. Zero means that no limit is set.
+	Cores       int
+	Memory      int64
+	Descriptors int
 
 	// Drain is the time between SIGTERM and SIGKILL, in which a stopping process
 	// finishes its work.
@@ -97,8 +98,8 @@
 		return errors.Errorf("a bound is negative: propagation %s, drain of upstreams %s", s.Propagation, s.UpstreamDrain)
 	case s.ColdSlack < 0 || s.ColdOver < 0 || s.Evacuation < 0:
 		return errors.Errorf("a bound is negative: cold upstreams %g times and %g more, evacuation %s", s.ColdOver, s.ColdSlack, s.Evacuation)
-	case s.Memory < 0 || s.Cores < 0:
-		return errors.Errorf("a resource is negative: memory %d, cores %d", s.Memory, s.Cores)
+	case s.Memory < 0 || s.Cores < 0 || s.Descriptors < 0:
+		return errors.Errorf("a resource is negative: memory %d, cores %d, file descriptors %d", s.Memory, s.Cores, s.Descriptors)
 	}
 	return nil
 }
--- a/bhlog/clip.go
+++ b/bhlog/clip.go
@@ -1,6 +1,11 @@
 package bhlog
 
-import "fmt"
+import (
+	"fmt"
+	stdlog "log"
+
+	"github.com/go-kit/log"
+)
 
 // maxValue is the largest length of a text in a line, in bytes. Callers choose some of them.
 const maxValue = 1 << 10
@@ -41,3 +46,21 @@
 	}
 	return text, len(text) > maxValue
 }
+
+// NewStandard returns a logger of the standard library that logs each line as the event at
+// warning level.
+func NewStandard(logger Logger, event string) *stdlog.Logger {
+	return stdlog.New(log.NewStdlibAdapter(warning{logger, event}), "", 0)
+}
+
+// warning logs what the standard library's logger wrote.
+type warning struct {
+	logger Logger
+	event  string
+}
+
+// Log implements log.Logger.
+func (w warning) Log(pairs ...any) error {
+	logEvent(warnLevel(w.logger), w.event, pairs)
+	return nil
+}
--- a/bhlog/log.go
+++ b/bhlog/log.go
@@ -65,6 +65,8 @@
 	logEvent(level.Info(logger), "decision."+name, append(head, pairs...))
 }
 
+func warnLevel(logger Logger) Logger { return level.Warn(logger) }
+
 // logEvent writes the line and ignores write errors.
 func logEvent(logger Logger, event string, pairs []any) {
 	line := append([]any{"event", event}, pairs...)
--- /dev/null
+++ b/bhserve/conn.go
@@ -0,0 +1,229 @@
+package bhserve
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/baobabhaven/baobabhaven/bhguard"
+)
+
+// headTooLarge answers a head that is longer than allowed.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+// errNoRoom ends a connection whose head takes more memory than there is.
+var errNoRoom = errors.New("no room for the request's head")
+
+// callerConn is a connection of a caller. It applies the timeouts of its listener in place of
+// those of http.Server, which can't change while it serves, and bounds the heads of requests.
+type callerConn struct {
+	net.Conn
+	listener   *CallerListener
+	held       *bhguard.Conn
+	acceptedAt time.Time
+
+	mu sync.Mutex
+	// idle is true until the first byte of the next request is read. served is set once
+	// a request was.
+	idle   bool
+	served bool
+	// ending is set while the read deadline is over because the connection is idle.
+	ending bool
+	// inHead is set while the server reads a head, which meter measures.
+	inHead bool
+	meter  bhguard.Meter
+	// readDeadline is the one for the body of the present request; zero if there is none.
+	readDeadline time.Time
+	// ownWriteDeadline is set while the handler has set a deadline for writes.
+	ownWriteDeadline bool
+}
+
+// NetConn returns the connection that is wrapped.
+func (c *callerConn) NetConn() net.Conn { return c.Conn }
+
+// Read implements net.Conn.
+func (c *callerConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if n > 0 {
+		if failure := c.arrived(buffer[:n]); failure != nil {
+			return 0, failure
+		}
+	}
+	return n, err
+}
+
+// arrived records the bytes that were read. It returns an error if they belong to a head for
+// which there is no room.
+func (c *callerConn) arrived(data []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle {
+		c.idle = false
+		c.held.Begin()
+		if c.inHead { // the first one on the connection
+			_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.headTimeout()))
+		}
+	}
+	if c.ending { // the request came first
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+	if !c.inHead {
+		return nil
+	}
+	cost := c.meter.Add(data)
+	if c.meter.Bytes > c.listener.headBytes()+readAhead {
+		_, _ = io.WriteString(c.Conn, headTooLarge)
+		return io.EOF
+	}
+	if !c.held.Hold(cost) {
+		return errNoRoom
+	}
+	return nil
+}
+
+// headBytes returns the largest size of a head.
+func (l *CallerListener) headBytes() int64 {
+	if l.config.HeadBytes != nil {
+		if size := l.config.HeadBytes(); size > 0 {
+			return min(size, maxHeadBytes)
+		}
+	}
+	return DefaultHeadBytes
+}
+
+// headTimeout returns how long a head may take.
+func (l *CallerListener) headTimeout() time.Duration {
+	if l.config.HeadTimeout != nil {
+		if timeout := l.config.HeadTimeout(); timeout > 0 {
+			return timeout
+		}
+	}
+	return DefaultHeadTimeout
+}
+
+// SetReadDeadline implements net.Conn. A deadline that http.Server derived from one of the
+// placeholders begins the time between two requests, or a head. The next one ends the head.
+func (c *callerConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := time.Duration(0)
+	if !deadline.IsZero() {
+		left = time.Until(deadline)
+	}
+	switch {
+	case left > IdleTimeoutPlaceholder/2:
+		c.idle, c.served, c.inHead = true, true, false
+		c.held.Rest()
+		deadline = time.Now().Add(c.listener.config.IdleTimeout())
+	case left > HeadTimeoutPlaceholder/2:
+		c.inHead, c.meter = true, bhguard.Meter{}
+		timeout := c.listener.headTimeout()
+		if c.idle { // no byte has come yet
+			timeout = max(timeout, DefaultHeadTimeout)
+		}
+		deadline = time.Now().Add(timeout)
+	default:
+		c.inHead = false
+	}
+	c.readDeadline = deadline
+	if c.ending {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// limitRest bounds the wait for what a handler has left of a body, which the server reads.
+func (c *callerConn) limitRest() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if deadline := time.Now().Add(restTimeout); c.readDeadline.IsZero() || deadline.Before(c.readDeadline) {
+		_ = c.Conn.SetReadDeadline(deadline)
+	}
+}
+
+// Write implements net.Conn. Unless the handler has set a deadline, the caller has to read each
+// piece in time.
+func (c *callerConn) Write(data []byte) (int, error) {
+	written := 0
+	for {
+		piece := data[:min(len(data), writePiece)]
+		c.mu.Lock()
+		if !c.ownWriteDeadline {
+			_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+		}
+		c.mu.Unlock()
+		n, err := c.Conn.Write(piece)
+		written += n
+		data = data[n:]
+		if err != nil || len(data) == 0 {
+			return written, err
+		}
+	}
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *callerConn) SetWriteDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ownWriteDeadline = !deadline.IsZero()
+	return c.Conn.SetWriteDeadline(deadline)
+}
+
+// SetDeadline implements net.Conn.
+func (c *callerConn) SetDeadline(deadline time.Time) error {
+	if err := c.SetReadDeadline(deadline); err != nil {
+		return err
+	}
+	return c.SetWriteDeadline(deadline)
+}
+
+// Close implements net.Conn.
+func (c *callerConn) Close() error {
+	c.listener.remove(c)
+	c.held.Close()
+	return c.Conn.Close()
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// connOf returns the connection on which the request of the context came, or nil.
+func connOf(ctx context.Context) *callerConn {
+	conn, _ := ctx.Value(connKey{}).(*callerConn)
+	return conn
+}
+
+// HoldHead takes memory for further copies of the head of the request whose context is given, in
+// bytes, until it is answered. It reports whether there is room.
+func HoldHead(ctx context.Context, bytes int64) bool {
+	conn := connOf(ctx)
+	return conn == nil || conn.held.Hold(bytes)
+}
+
+// Keep records that the connection of the request has brought what it was opened for, so that it
+// doesn't end in favour of others.
+func Keep(ctx context.Context) {
+	if conn := connOf(ctx); conn != nil {
+		conn.held.Work()
+	}
+}
+
+// ExpectBody makes room in the kernel for a body, or a part of one, that the process is about to
+// read, in bytes. The caller has to have the memory for it.
+func ExpectBody(ctx context.Context, bytes int64) {
+	conn := connOf(ctx)
+	if conn == nil || bytes <= bhguard.ReadBuffer {
+		return
+	}
+	if socket, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = socket.SetReadBuffer(int(min(bytes, maxReadBuffer)))
+	}
+}
+
+// maxReadBuffer bounds the kernel's buffer for the body of one request, in bytes.
+const maxReadBuffer = 256 << 10
--- /dev/null
+++ b/bhserve/conn_test.go
@@ -0,0 +1,124 @@
+package bhserve
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/baobabhaven/baobabhaven/bhguard"
+	"github.com/baobabhaven/baobabhaven/bhlog"
+)
+
+// boundedServer serves with the bounds and returns a function that connects to it.
+func boundedServer(t *testing.T, limits bhguard.Limits, callers CallerListenerConfig, handler http.HandlerFunc) (connect func() (net.Conn, *bufio.Reader)) {
+	listeners, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	callers.Listener = listeners[0]
+	server := NewPorts(PortsConfig{Limits: limits, Logger: bhlog.Nop()}).Callers(callers, handler)
+	go func() { _ = server.Serve(server.Callers) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return func() (net.Conn, *bufio.Reader) {
+		conn, err := net.Dial("tcp", listeners[0].Addr().String())
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		return conn, bufio.NewReader(conn)
+	}
+}
+
+func whole(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "whole") }
+
+// Guards against bounds that are those of the start while the configuration changes, and against
+// sound heads that are refused.
+func TestBoundsOfHeadsMayChange(t *testing.T) {
+	var size, timeout atomic.Int64
+	connect := boundedServer(t, bhguard.Limits{}, CallerListenerConfig{
+		HeadBytes:   size.Load,
+		HeadTimeout: func() time.Duration { return time.Duration(timeout.Load()) },
+	}, whole)
+	ask := func(fieldBytes int) string {
+		conn, reader := connect()
+		fmt.Fprintf(conn, "%sA: %s\r\n\r\n", requestHead, strings.Repeat("a", fieldBytes))
+		return readAnswer(reader)
+	}
+	assert.Equal(t, "whole", ask(DefaultHeadBytes-100))
+	size.Store(1000)
+	assert.Empty(t, ask(DefaultHeadBytes-100))
+	assert.Equal(t, "whole", ask(900))
+	size.Store(200_000)
+	assert.Equal(t, "whole", ask(199_000))
+
+	timeout.Store(int64(50 * time.Millisecond))
+	conn, reader := connect()
+	fmt.Fprint(conn, requestHead)
+	_, err := reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF, "the head takes too long")
+}
+
+// Guards against newcomers that cut off a request in flight.
+func TestNewConnectionsEndIdleOnesOnly(t *testing.T) {
+	release := make(chan struct{})
+	begun := make(chan struct{})
+	connect := boundedServer(t, bhguard.Limits{Callers: 2}, CallerListenerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(begun)
+			<-release
+		}
+		whole(w, r)
+	})
+	slow, slowReader := connect()
+	fmt.Fprint(slow, strings.Replace(requestHead, "/", "/slow", 1)+"Content-Length: 4\r\n\r\nbody")
+	<-begun
+	idle, idleReader := connect()
+	fmt.Fprint(idle, requestHead+"\r\n")
+	require.Equal(t, "whole", readAnswer(idleReader))
+	for range 5 {
+		conn, reader := connect()
+		fmt.Fprint(conn, requestHead+"\r\n")
+		assert.Equal(t, "whole", readAnswer(reader))
+	}
+	_, err := idleReader.ReadByte()
+	assert.Error(t, err, "the idle one has ended")
+	close(release)
+	assert.Equal(t, "whole", readAnswer(slowReader))
+}
+
+// Guards against clients that end each other when all connect at once, as after an outage.
+func TestClientsThatConnectAtOnceAreAnswered(t *testing.T) {
+	const clients = 400
+	listeners, err := Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	server := NewPorts(PortsConfig{Limits: bhguard.Limits{Callers: 40}, Logger: bhlog.Nop()}).Callers(CallerListenerConfig{Listener: listeners[0]}, http.HandlerFunc(whole))
+	defer func() { _ = server.Close() }()
+	var readers []*bufio.Reader
+	for range clients {
+		conn, err := net.Dial("tcp", listeners[0].Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = conn.Close() }()
+		fmt.Fprint(conn, requestHead+"\r\n")
+		readers = append(readers, bufio.NewReader(conn))
+	}
+	go func() { _ = server.Serve(server.Callers) }()
+	for _, reader := range readers {
+		assert.Equal(t, "whole", readAnswer(reader))
+	}
+}
+
+// Guards against connections that wait without end for what a handler leaves of a body.
+func TestRestOfABodyIsNotAwaitedWithoutEnd(t *testing.T) {
+	connect := boundedServer(t, bhguard.Limits{}, CallerListenerConfig{}, whole)
+	conn, reader := connect()
+	fmt.Fprint(conn, requestHead+"Content-Length: 1000\r\n\r\nhalf")
+	assert.Equal(t, "whole", readAnswer(reader))
+	_ = conn.SetReadDeadline(time.Now().Add(20 * restTimeout))
+	_, err := reader.ReadByte()
+	assert.ErrorIs(t, err, io.EOF)
+}
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -9,12 +9,34 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/baobabhaven/baobabhaven/bhguard"
 )
 
 const (
 	// IdleTimeoutPlaceholder is the idle timeout of an http.Server that serves a
 	// CallerListener, which replaces it by its own.
 	IdleTimeoutPlaceholder = 1000 * time.Hour
+	// HeadTimeoutPlaceholder is the same for the time that a head may take. By the two, the
+	// listener knows what the server waits for.
+	HeadTimeoutPlaceholder = 100 * time.Hour
+	// DefaultHeadTimeout bounds the time for a request's head where nothing else does.
+	DefaultHeadTimeout = 10 * time.Second
+	// DefaultHeadBytes bounds the size of a head where nothing else does.
+	DefaultHeadBytes = 64 << 10
+	// maxHeadBytes bounds heads in any case.
+	maxHeadBytes = 1 << 20
+	// readAhead is how many bytes of a body http.Server may read together with the head.
+	readAhead = 4 << 10
+	// writeTimeout bounds how long a caller may read nothing of an answer.
+	writeTimeout = 30 * time.Second
+	// writePiece is what a caller has to read within writeTimeout, in bytes.
+	writePiece = 32 << 10
+	// restTimeout bounds the wait for the rest of a body that the handler didn't read.
+	restTimeout = time.Second
+	// crowdedDelay lets requests that have arrived be read before a connection ends in favour of a
+	// new one.
+	crowdedDelay = time.Millisecond
 	// firstRequestGrace is how long a connection that Drain finds accepted may take
 	// to send its first request. Clients send it right after the handshake.
 	firstRequestGrace = time.Second
@@ -25,20 +47,27 @@
 // CallerListenerConfig configures a CallerListener.
 type CallerListenerConfig struct {
 	Listener net.Listener
+	// Guard decides which connections are kept and how much memory heads take; nil means no
+	// bounds.
+	Guard *bhguard.Guard
 	// IdleTimeout returns how long a connection may be idle.
 	IdleTimeout func() time.Duration
+	// HeadTimeout returns how long the head of a request may take, and HeadBytes its largest size
+	// in bytes. Nil, or a result that isn't positive, means DefaultHeadTimeout and
+	// DefaultHeadBytes.
+	HeadTimeout func() time.Duration
+	HeadBytes   func() int64
 	// WriteBuffer is the size in bytes of a connection's buffer for writes; zero leaves it
 	// to the system.
 	WriteBuffer int
 }
 
-// CallerListener accepts connections of callers and ends them without cutting off a
-// request: http.Server.Shutdown closes a connection as idle also while it reads a request
-// there, which the handler then passes on without a way to answer.
+// CallerListener accepts connections of callers, bounds what they make the process hold, and ends
+// them without cutting off a request: http.Server.Shutdown closes a connection as idle also while
+// it reads a request there, which the handler then passes on without a way to answer.
 type CallerListener struct {
 	net.Listener
-	idleTimeout func() time.Duration
-	writeBuffer int
+	config CallerListenerConfig
 
 	mu       sync.Mutex
 	conns    map[*callerConn]bool
@@ -48,26 +77,48 @@
 // NewCallerListener returns a listener for an http.Server whose idle timeout is
 // IdleTimeoutPlaceholder.
 func NewCallerListener(config CallerListenerConfig) *CallerListener {
-	return &CallerListener{Listener: config.Listener, idleTimeout: config.IdleTimeout, writeBuffer: config.WriteBuffer, conns: make(map[*callerConn]bool)}
+	if config.Guard == nil {
+		config.Guard = bhguard.NewPool(bhguard.PoolConfig{}).NewGuard(bhguard.GuardConfig{})
+	}
+	return &CallerListener{Listener: config.Listener, config: config, conns: make(map[*callerConn]bool)}
 }
 
 // Accept implements net.Listener. It returns http.ErrServerClosed after Drain.
 func (l *CallerListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	switch {
-	case err != nil && l.draining:
-		return nil, http.ErrServerClosed
-	case err != nil:
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if l.draining {
+				return nil, http.ErrServerClosed
+			}
+			return nil, err
+		}
+		if l.config.Guard.Crowded() {
+			time.Sleep(crowdedDelay)
+		}
+		if conn := l.keep(accepted); conn != nil {
+			return conn, nil
+		}
+		_ = accepted.Close()
 	}
-	if socket, ok := accepted.(*net.TCPConn); ok && l.writeBuffer > 0 {
-		_ = socket.SetWriteBuffer(l.writeBuffer)
+}
+
+// keep returns the connection that was accepted for the server, or nil if there is no room.
+func (l *CallerListener) keep(accepted net.Conn) *callerConn {
+	if socket, ok := accepted.(*net.TCPConn); ok && l.config.WriteBuffer > 0 {
+		_ = socket.SetWriteBuffer(l.config.WriteBuffer)
 	}
 	conn := &callerConn{Conn: accepted, listener: l, idle: true, acceptedAt: time.Now()}
+	conn.held = l.config.Guard.Open(func() { _ = accepted.Close() })
+	if conn.held == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	l.conns[conn] = true
-	return conn, nil
+	return conn
 }
 
 // Drain accepts no further connections and ends those without a request, until none is
@@ -106,61 +157,6 @@
 	delete(l.conns, conn)
 }
 
-// callerConn is a connection of a caller. It applies the idle timeout of its listener in
-// place of that of http.Server, which can't change while it serves.
-type callerConn struct {
-	net.Conn
-	listener   *CallerListener
-	acceptedAt time.Time
-
-	mu sync.Mutex
-	// idle is true until the first byte of the next request is read. served is set once
-	// a request was.
-	idle   bool
-	served bool
-	// ending is set while the read deadline is over because the connection is idle.
-	ending bool
-}
-
-// NetConn returns the connection that is wrapped.
-func (c *callerConn) NetConn() net.Conn { return c.Conn }
-
-// Read implements net.Conn.
-func (c *callerConn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
-	if n > 0 {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.idle = false
-		if c.ending { // the request came first
-			c.ending = false
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		}
-	}
-	return n, err
-}
-
-// SetReadDeadline implements net.Conn. A deadline that http.Server derived from the
-// placeholder begins the time between two requests.
-func (c *callerConn) SetReadDeadline(deadline time.Time) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !deadline.IsZero() && time.Until(deadline) > IdleTimeoutPlaceholder/2 {
-		c.idle, c.served = true, true
-		deadline = time.Now().Add(c.listener.idleTimeout())
-	}
-	if c.ending {
-		return nil
-	}
-	return c.Conn.SetReadDeadline(deadline)
-}
-
-// Close implements net.Conn.
-func (c *callerConn) Close() error {
-	c.listener.remove(c)
-	return c.Conn.Close()
-}
-
 // endIfIdle has http.Server close the connection if no byte of a request has arrived
 // there. The server sees that its wait for the next request timed out.
 func (c *callerConn) endIfIdle() {
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhmesh"
@@ -39,6 +40,8 @@
 	Logger   bhlog.Logger
 	Metrics  *bhmetric.Metrics
 	Platform bhplatform.Platform
+	// Limits bound what callers can make the process hold; the zero value means no bounds.
+	Limits bhguard.Limits
 	// Incarnation is the number of this start of the process. A later start has
 	// a higher number.
 	Incarnation uint64
@@ -102,8 +105,10 @@
 	serveCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	tree := bhtree.New(bhtree.Config{Name: "sidecar", Logger: s.logger})
-	tree.Add("link", bhserve.Run(bhserve.NewServer(serveCtx, http.HandlerFunc(s.serveLink)), listeners[0]))
-	tree.Add("admin", bhserve.Run(bhserve.NewServer(serveCtx, s.adminHandler()), listeners[1]))
+	ports := bhserve.NewPorts(bhserve.PortsConfig{Limits: s.config.Limits, Logger: s.logger, Scope: s.config.Metrics.Scope})
+	tree.Add("link", ports.Links(listeners[0], http.HandlerFunc(s.serveLink)).Run(serveCtx))
+	tree.Add("admin", ports.Operators(listeners[1], s.adminHandler()).Run(serveCtx))
+	tree.AddPersistent("ports", ports.Report)
 	tree.AddRestarted("sync", s.syncNode.Run)
 	tree.AddRestarted("configure", s.applySnapshots)
 	tree.AddRestarted("announce", s.announce)
@@ -187,6 +192,7 @@
 		bhlog.Problem(s.logger, "link.refused", err, "source", r.RemoteAddr)
 		return
 	}
+	bhserve.Keep(r.Context())
 	s.track(session)
 	defer s.closeAndUntrack(session)
 	bhlog.Event(s.logger, "link.open", "peer", session.Peer.Host, "class", session.Peer.Class)
