Entry: bodies take memory from a budget before they are read

1000 callers that sent half of a body of 1 MiB made an entry take 1,070 MiB on a machine of 112, 200 that sent it in a chunk 232. One of them could hold its memory without end.

The entry read each body into a buffer that doubles, without a budget or a deadline. A gateway charged its budget, but built bodies of unknown length by appending, which allocates more than was charged.

A body may take a minute. Bodies of unknown length are read in pieces and joined once, at entries and gateways; they may take the whole budget like those of known length, so that a single one inside the limits is served.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -1,9 +1,7 @@
 package bhentry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -17,15 +15,22 @@
 	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 )
 
 const (
-	// maxBodyBytes is the largest request body that readBody accepts.
+	// maxBodyBytes is the largest request body that readBody accepts, and bodyTimeout the longest
+	// time that it may take.
 	maxBodyBytes = 4 << 20
-	// headCopies is how many copies of a request's head the entry makes to pass it on.
+	bodyTimeout  = time.Minute
+	// headCopies and bodyCopies are how many copies of a request's head and body the entry makes
+	// to pass it on.
 	headCopies = 4
+	bodyCopies = 3
 	// noRoomRetryAfter is sent with requests for which there is no memory.
 	noRoomRetryAfter = time.Second
+	// contextKeyBody is the key of what is held for the request's body.
+	contextKeyBody = "body"
 )
 
 const contentTypeEventStream = "text/event-stream"
@@ -75,12 +80,16 @@
 	}
 }
 
-// holdRequest serves the request if there is memory for its head.
+// holdRequest serves the request if there is memory for its head, and frees what is held for it
+// afterwards.
 func (e *Entry) holdRequest(c echo.Context, next echo.HandlerFunc) error {
 	request := c.Request()
 	if !bhserve.HoldHead(request.Context(), headCopies*bhguard.CopyCost(request)) {
 		return noRoom("a head of %d fields", len(request.Header))
 	}
+	body := e.bodies.OpenBody()
+	defer body.Close()
+	c.Set(contextKeyBody, body)
 	return next(c)
 }
 
@@ -186,18 +195,38 @@
 	return bhcode.From(err)
 }
 
+// holdBody takes memory for more of the request's body, in bytes.
+func holdBody(c echo.Context, bytes int64) error {
+	if body, ok := c.Get(contextKeyBody).(*bhspool.Holding); ok && body.Grow(bytes) != bhspool.Granted {
+		return noRoom("a body of %d bytes more", bytes)
+	}
+	return nil
+}
+
 // readBody reads the request body. The error is TooLarge if the body exceeds
-// maxBodyBytes, and BadRequest if reading fails.
+// maxBodyBytes, Overloaded if there is no memory for it, and BadRequest if reading fails.
 func readBody(c echo.Context) ([]byte, error) {
-	reader := http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes)
-	var body bytes.Buffer
-	_, err := io.Copy(&body, reader)
+	request := c.Request()
+	if request.ContentLength > maxBodyBytes {
+		return nil, bhcode.New(bhcode.TooLarge, "the body is over %d bytes", maxBodyBytes)
+	}
+	controller := http.NewResponseController(c.Response())
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := bhserve.Body{
+		Source: http.MaxBytesReader(c.Response(), request.Body, maxBodyBytes),
+		Length: request.ContentLength,
+		Hold:   func(bytes int64) error { return holdBody(c, bytes) },
+	}.Read(request.Context())
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return nil, bhcode.New(bhcode.TooLarge, "the body is over %d bytes", maxBodyBytes)
 	}
+	if bhcode.Is(err, bhcode.Overloaded) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, bhcode.Wrap(err, bhcode.BadRequest, "reading the body")
 	}
-	return body.Bytes(), nil
+	_ = controller.SetReadDeadline(time.Time{})
+	return body, nil
 }
--- a/bhentry/drain_test.go
+++ b/bhentry/drain_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhdrain"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlimit"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
@@ -22,7 +23,7 @@
 // connections. Otherwise a request sent on an idle connection may be lost
 // when the entry closes it.
 func TestLeavingEntryServesAndAsksToCloseConnections(t *testing.T) {
-	e := &Entry{metrics: newRequestMetrics(tally.NoopScope), departure: bhdrain.NewDeparture(time.Minute)}
+	e := &Entry{metrics: newRequestMetrics(tally.NoopScope), departure: bhdrain.NewDeparture(time.Minute), bodies: newBodies(bhguard.Limits{})}
 	server := echo.New()
 	server.Use(e.instrument)
 	server.GET("/", func(c echo.Context) error { return c.NoContent(http.StatusOK) })
@@ -45,7 +46,7 @@
 // rate.
 func TestEndOfTheStopIsNotTakenForTheRateOfAnAccount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		e := &Entry{metrics: newRequestMetrics(tally.NoopScope), departure: bhdrain.NewDeparture(10 * time.Second), logger: bhlog.Nop()}
+		e := &Entry{metrics: newRequestMetrics(tally.NoopScope), departure: bhdrain.NewDeparture(10 * time.Second), logger: bhlog.Nop(), bodies: newBodies(bhguard.Limits{})}
 		e.limiter = bhlimit.New(bhlimit.Config{
 			Host:     "entry-1",
 			Accounts: func() (int64, []bhconf.Account) { return 1, []bhconf.Account{{Name: "zoo", Rate: 1, Burst: 1}} },
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"net/http"
 	"net/http/pprof"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhroute"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -68,12 +70,15 @@
 	leaving         atomic.Bool
 	departure       *bhdrain.Departure
 	callers         *bhserve.CallerListener
+	// bodies is what is held for the bodies of callers' requests.
+	bodies *bhspool.Budget
 }
 
 // New returns an entry. It serves nothing until Run is called.
 func New(config Config) *Entry {
 	logger := bhlog.With(config.Logger, "role", "entry", "host", config.Settings.Host)
 	e := &Entry{readiness: readiness{startedAt: time.Now()}, config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope), departure: bhdrain.NewDeparture(config.Settings.DrainTimeout())}
+	e.bodies = newBodies(config.Limits)
 	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
 	e.configStore = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	e.runningRequests = bhsync.NewRunningRequests(e.configStore)
@@ -106,6 +111,14 @@
 	return e
 }
 
+// newBodies returns the budget of callers' bodies.
+func newBodies(limits bhguard.Limits) *bhspool.Budget {
+	if limits.Bodies <= 0 {
+		return bhspool.New(bhspool.Config{Total: math.MaxInt64})
+	}
+	return bhspool.New(bhspool.Config{Total: limits.Bodies / bodyCopies})
+}
+
 // Run serves until ctx is done, then stops gracefully: it stops accepting
 // connections, waits for the requests in flight, answers those that can't end
 // within the drain timeout, and closes its sessions. It returns an error if it can't listen on an address of
--- a/bhgate/hold.go
+++ b/bhgate/hold.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"time"
 
@@ -18,9 +17,6 @@
 // headCopies is how many copies of a request's head the gateway makes to forward it.
 const headCopies = 3
 
-// bodyPiece is by how many bytes what is held for a body of unknown length grows.
-const bodyPiece = 32 << 10
-
 // outbox returns the call's outbox, which it creates for the first part of the answer.
 func (c *call) outbox() *outbox {
 	if c.out == nil {
@@ -84,8 +80,8 @@
 		defer close(aborted)
 		_ = controller.SetReadDeadline(time.Unix(1, 0))
 	})
-	c.bodyHolding = c.gate.config.Budget.Open(func() {}) // bodies don't yield
-	body, err := c.readAll(http.MaxBytesReader(c.w, c.r.Body, limit))
+	c.bodyHolding = c.gate.config.Budget.OpenBody()
+	body, err := bhserve.Body{Source: http.MaxBytesReader(c.w, c.r.Body, limit), Length: c.r.ContentLength, Hold: c.holdBody}.Read(c.r.Context())
 	if !detach() {
 		<-aborted
 	}
@@ -95,47 +91,6 @@
 	return body, err
 }
 
-// readAll reads the source to its end.
-func (c *call) readAll(source io.Reader) ([]byte, error) {
-	if c.r.ContentLength >= 0 {
-		if err := c.holdBody(c.r.ContentLength); err != nil {
-			return nil, err
-		}
-		bhserve.ExpectBody(c.r.Context(), c.r.ContentLength)
-		body := make([]byte, c.r.ContentLength)
-		_, err := io.ReadFull(source, body)
-		return body, err
-	}
-	var body []byte
-	for {
-		if err := c.holdBody(bodyPiece); err != nil {
-			return nil, err
-		}
-		piece := make([]byte, bodyPiece)
-		n, err := fill(source, piece)
-		body = append(body, piece[:n]...)
-		switch {
-		case err == io.EOF:
-			return body, nil
-		case err != nil:
-			return nil, err
-		}
-	}
-}
-
-// fill reads until the piece is full or the source fails. Unlike io.ReadFull it returns the
-// source's own error, which tells a body that was broken off from a whole one.
-func fill(source io.Reader, piece []byte) (int, error) {
-	n := 0
-	for n < len(piece) {
-		read, err := source.Read(piece[n:])
-		if n += read; err != nil {
-			return n, err
-		}
-	}
-	return n, nil
-}
-
 // holdBody takes the bytes for the request's body from the budget.
 func (c *call) holdBody(bytes int64) error {
 	if c.bodyHolding.Grow(bytes) == bhspool.Granted {
--- a/bhserve/conn_test.go
+++ b/bhserve/conn_test.go
@@ -122,3 +122,24 @@
 	_, err := reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF)
 }
+
+// A body that the handler doesn't hurry to read stays whole on a slow connection.
+func TestBodyInPiecesIsRead(t *testing.T) {
+	const size = 300_000
+	connect := boundedServer(t, bhguard.Limits{Callers: 10, Heads: 1 << 20}, CallerListenerConfig{}, func(w http.ResponseWriter, r *http.Request) {
+		body, err := Body{Source: r.Body, Length: r.ContentLength, Hold: func(int64) error { return nil }}.Read(r.Context())
+		fmt.Fprint(w, len(body), err)
+	})
+	for _, c := range []struct{ head, body string }{
+		{fmt.Sprintf("Content-Length: %d\r\n\r\n", size), strings.Repeat("a", size)},
+		{"Transfer-Encoding: chunked\r\n\r\n", strings.Repeat("1\r\na\r\n", size) + "0\r\n\r\n"},
+	} {
+		conn, reader := connect()
+		fmt.Fprint(conn, strings.Replace(requestHead, "GET", "POST", 1)+c.head)
+		for half := range 2 {
+			time.Sleep(10 * time.Millisecond)
+			fmt.Fprint(conn, c.body[half*len(c.body)/2:(half+1)*len(c.body)/2])
+		}
+		assert.Equal(t, fmt.Sprint(size, error(nil)), readAnswer(reader))
+	}
+}
--- a/bhspool/spool.go
+++ b/bhspool/spool.go
@@ -106,6 +106,14 @@
 	return h
 }
 
+// OpenBody returns a holding without memory for the body of a request, which may take all and
+// doesn't yield. The caller closes it.
+func (b *Budget) OpenBody() *Holding {
+	h := b.Open(func() {})
+	h.body = true
+	return h
+}
+
 // makeRoom has the holding yield that kept most for the longest time without progress. It
 // reports whether there was one besides asker. The caller holds b.mu.
 func (b *Budget) makeRoom(asker *Holding, now time.Time) bool {
@@ -142,6 +150,7 @@
 type Holding struct {
 	budget *Budget
 	yield  func()
+	body   bool
 
 	// The budget's mu guards the fields below.
 
@@ -163,11 +172,11 @@
 func (h *Holding) shared() int64 { return max(0, h.bytes-Guaranteed) }
 
 // limit returns up to which bytes of all holdings this one may grow to the shared bytes. A
-// request's body, which comes in one, may take all. The caller holds the budget's mu.
+// request's body, and what comes in one, may take all. The caller holds the budget's mu.
 func (h *Holding) limit(shared int64) int64 {
 	total := h.budget.config.Total
 	switch {
-	case h.bytes == 0:
+	case h.body || h.bytes == 0:
 		return total
 	case shared > total/maxShare:
 		return 0
