Gateway: the configuration bounds heads and their time

headerBytes and headerTimeoutMs of the configuration were read nowhere: 64 KiB and 10 s stood in the code, whatever the operator declared, so that a larger head inside the operator's limit was refused, and a smaller limit meant nothing.

Both are read from the policy in force now, at each head. The size that is checked is the least in which the head can have been sent, so that none inside the limit is refused. Without the limits of a configuration 64 KiB and 10 s stay.

--- a/bhcode/code.go
+++ b/bhcode/code.go
@@ -26,6 +26,7 @@
 	KeyRevoked     Code = 1009
 	TooManyBadKeys Code = 1010
 	RateUnknown    Code = 1011
+	HeadTooLarge   Code = 1012
 
 	NoUpstream       Code = 2001
 	Overloaded       Code = 2002
@@ -89,6 +90,7 @@
 	KeyReused:      {"key_reused", http.StatusUnprocessableEntity, "The idempotency key was used with another request."},
 	KeyRevoked:     {"key_revoked", http.StatusUnauthorized, "The key was revoked while the request ran."},
 	TooManyBadKeys: {"too_many_bad_keys", http.StatusTooManyRequests, "This source sent too many wrong keys."},
+	HeadTooLarge:   {"head_too_large", http.StatusRequestHeaderFieldsTooLarge, "The request's head exceeds the size limit."},
 	RateUnknown:    {"rate_unknown", http.StatusServiceUnavailable, "The client account's rate can't be checked now."},
 
 	NoUpstream:       {"no_upstream", http.StatusServiceUnavailable, "No upstream can serve the request now."},
--- a/bhgate/gate_test.go
+++ b/bhgate/gate_test.go
@@ -293,6 +293,26 @@
 	assert.Zero(t, u.count())
 }
 
+// Guards against heads inside the limit that are refused, and against a refusal that doesn't name
+// its request.
+func TestTooLargeHeadsAreRefused(t *testing.T) {
+	u := newUpstream(t, answerOK)
+	g := newTestGate(t, bhpolicy.Route{}, u)
+	policy := *g.policies.view.Index.Policy
+	policy.Limits.HeadBytes = 2000
+	g.policies.update(func(p *fakePolicies) { p.view.Index = bhpolicy.NewIndex(&policy) })
+	request := g.request("/a/x", withID("small"))
+	request.Header.Set("X", strings.Repeat("x", 1700))
+	assert.Equal(t, http.StatusOK, g.status(request))
+	request = g.request("/a/x", withID("large"))
+	request.Header.Set("X", strings.Repeat("x", 2000))
+	response, _, err := g.do(request)
+	require.NoError(t, err)
+	assert.Equal(t, http.StatusRequestHeaderFieldsTooLarge, response.StatusCode)
+	assert.Equal(t, "large", response.Header.Get(g.gate.config.Dialect.RequestID))
+	assert.Equal(t, 1, u.count())
+}
+
 func TestLargeAnswersAreRelayedCompletely(t *testing.T) {
 	large := strings.Repeat("0123456789", 100_000)
 	u := newUpstream(t, func(w http.ResponseWriter, _ *http.Request, _ int) { _, _ = io.WriteString(w, large) })
--- a/bhgate/hold.go
+++ b/bhgate/hold.go
@@ -57,9 +57,16 @@
 	return limit
 }
 
-// holdHead takes memory for the copies of the request's head. It returns an Overloaded error if
-// there is no room.
+// holdHead takes memory for the copies of the request's head. It returns a HeadTooLarge error if
+// the head is longer than the policy allows, and Overloaded if there is no room.
 func (c *call) holdHead() error {
+	limit := c.view.Index.Policy.Limits.HeadBytes
+	if limit <= 0 {
+		limit = bhserve.DefaultHeadBytes
+	}
+	if size := bhguard.HeadBytes(c.r); size > limit {
+		return bhcode.New(bhcode.HeadTooLarge, "the head has %d bytes of at most %d", size, limit)
+	}
 	if !bhserve.HoldHead(c.r.Context(), headCopies*bhguard.CopyCost(c.r)) {
 		return bhcode.New(bhcode.Overloaded, "the gateway holds too much for its clients to take a head of %d fields", len(c.r.Header)).WithRetryAfter(unavailableRetryAfter)
 	}
--- a/bhgate/server.go
+++ b/bhgate/server.go
@@ -66,6 +66,8 @@
 		Listener:    listener,
 		WriteBuffer: clientWriteBuffer,
 		IdleTimeout: s.idleTimeout,
+		HeadTimeout: func() time.Duration { return s.limits().HeadTimeout },
+		HeadBytes:   func() int64 { return s.limits().HeadBytes },
 	}, s.handler)
 }
 
--- a/bhguard/limits_test.go
+++ b/bhguard/limits_test.go
@@ -1,6 +1,8 @@
 package bhguard
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -50,3 +52,12 @@
 		assert.Zero(t, cost, "%s: by single bytes", c.name)
 	}
 }
+
+func TestHeadBytesIsAtMostWhatWasSent(t *testing.T) {
+	r := httptest.NewRequest(http.MethodGet, "/a/b?c=d", nil)
+	r.Header.Set("Name", "value")
+	r.Header.Add("Name", "")
+	sent := "GET /a/b?c=d HTTP/1.1\r\nHost: example.com\r\nName: value\r\nName: \r\n\r\n"
+	assert.LessOrEqual(t, HeadBytes(r), int64(len(sent)))
+	assert.Greater(t, HeadBytes(r), int64(len(sent)/2))
+}
--- a/bhguard/meter.go
+++ b/bhguard/meter.go
@@ -54,3 +54,17 @@
 	}
 	return cost
 }
+
+// HeadBytes returns the least size in which the request's head can have been sent, without what
+// the server took from it.
+func HeadBytes(r *http.Request) int64 {
+	const separators = int64(len(":\r\n"))
+	size := int64(len(r.Method) + len(" ") + len(r.RequestURI) + len(" ") + len(r.Proto) + len("\r\n"))
+	size += int64(len("Host")+len(r.Host)) + separators
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += int64(len(name)+len(value)) + separators
+		}
+	}
+	return size
+}
--- a/bhpolicy/policy.go
+++ b/bhpolicy/policy.go
@@ -121,8 +121,11 @@
 // Limits apply to all clients. Users of a Limits replace values that aren't
 // positive by defaults of their own.
 type Limits struct {
-	// BodyBytes is the size of the largest request body.
+	// HeadBytes and BodyBytes are the sizes of the largest request head and body.
+	HeadBytes int64
 	BodyBytes int64
+	// HeadTimeout is how long a client may take to send a request's head.
+	HeadTimeout time.Duration
 	// IdleTimeout is how long a client's connection may be idle.
 	IdleTimeout time.Duration
 }
