Ports: a head that is refused has one answer

A client whose head found no room was answered 400 by the standard library, which it may not repeat, though the gateway only had no memory for it; after 431 for one that is too long a second answer, 400, followed on the connection.

The error that ended the read wasn't one after which http.Server stays silent.

It looks like one of the network now. Before, 503 with Retry-After, which is true as the request can't have run, or 431 is written, and a part of what the client still sends is read, as closing the connection before would reset it and take the answer away. TestRefusedHeadsHaveOneAnswer failed before.

--- a/bhserve/conn.go
+++ b/bhserve/conn.go
@@ -12,11 +12,15 @@
 	"github.com/baobabhaven/baobabhaven/bhguard"
 )
 
-// headTooLarge answers a head that is longer than allowed.
-const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+// Answers to requests whose head isn't read to its end.
+const (
+	headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	headNoRoom   = "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+)
 
-// errNoRoom ends a connection whose head takes more memory than there is.
-var errNoRoom = errors.New("no room for the request's head")
+// errHeadRefused ends a connection whose head was refused. http.Server writes no answer of its own
+// after an error of a read from the network.
+var errHeadRefused error = &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the request's head was refused")}
 
 // callerConn is a connection of a caller. It applies the timeouts of its listener in place of
 // those of http.Server, which can't change while it serves, and bounds the heads of requests.
@@ -49,16 +53,29 @@
 func (c *callerConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
 	if n > 0 {
-		if failure := c.arrived(buffer[:n]); failure != nil {
-			return 0, failure
+		if answer := c.arrived(buffer[:n]); answer != "" {
+			c.refuse(answer)
+			return 0, errHeadRefused
 		}
 	}
 	return n, err
 }
 
-// arrived records the bytes that were read. It returns an error if they belong to a head for
-// which there is no room.
-func (c *callerConn) arrived(data []byte) error {
+// refuse writes the answer and reads a part of what the caller still sends, as closing the
+// connection before would take the answer from it.
+func (c *callerConn) refuse(answer string) {
+	_ = c.Conn.SetDeadline(time.Now().Add(restTimeout))
+	if _, err := io.WriteString(c.Conn, answer); err != nil {
+		return
+	}
+	if socket, ok := c.Conn.(*net.TCPConn); ok && socket.CloseWrite() == nil {
+		_, _ = io.CopyN(io.Discard, socket, maxRest)
+	}
+}
+
+// arrived records the bytes that were read. It returns the answer that refuses the request if they
+// belong to a head for which there is no room, or "".
+func (c *callerConn) arrived(data []byte) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
@@ -73,17 +90,16 @@
 		_ = c.Conn.SetReadDeadline(time.Time{})
 	}
 	if !c.inHead {
-		return nil
+		return ""
 	}
 	cost := c.meter.Add(data)
 	if c.meter.Bytes > c.listener.headBytes()+readAhead {
-		_, _ = io.WriteString(c.Conn, headTooLarge)
-		return io.EOF
+		return headTooLarge
 	}
 	if !c.held.Hold(cost) {
-		return errNoRoom
+		return headNoRoom
 	}
-	return nil
+	return ""
 }
 
 // headBytes returns the largest size of a head.
--- a/bhserve/conn_test.go
+++ b/bhserve/conn_test.go
@@ -63,6 +63,28 @@
 	assert.ErrorIs(t, err, io.EOF, "the head takes too long")
 }
 
+// Guards against a refusal that the caller doesn't get, or that is followed by one of the server.
+func TestRefusedHeadsHaveOneAnswer(t *testing.T) {
+	for _, c := range []struct {
+		limits bhguard.Limits
+		fields string
+		want   int
+	}{
+		{bhguard.Limits{}, strings.Repeat("a: b\r\n", DefaultHeadBytes/3), http.StatusRequestHeaderFieldsTooLarge},
+		{bhguard.Limits{Heads: 1 << 10}, strings.Repeat("a:\r\n", DefaultHeadBytes/8), http.StatusServiceUnavailable},
+	} {
+		connect := boundedServer(t, c.limits, CallerListenerConfig{}, whole)
+		conn, reader := connect()
+		go func() { _, _ = io.WriteString(conn, requestHead+c.fields) }()
+		response, err := http.ReadResponse(reader, nil)
+		require.NoError(t, err)
+		assert.Equal(t, c.want, response.StatusCode)
+		assert.Equal(t, c.want == http.StatusServiceUnavailable, response.Header.Get("Retry-After") != "")
+		_, err = reader.ReadByte()
+		assert.ErrorIs(t, err, io.EOF)
+	}
+}
+
 // Guards against newcomers that cut off a request in flight.
 func TestNewConnectionsEndIdleOnesOnly(t *testing.T) {
 	release := make(chan struct{})
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -32,8 +32,10 @@
 	writeTimeout = 30 * time.Second
 	// writePiece is what a caller has to read within writeTimeout, in bytes.
 	writePiece = 32 << 10
-	// restTimeout bounds the wait for the rest of a body that the handler didn't read.
+	// restTimeout bounds the wait for the rest of a request that isn't used any more.
 	restTimeout = time.Second
+	// maxRest bounds what is read of a request that was refused, in bytes.
+	maxRest = 256 << 10
 	// crowdedDelay lets requests that have arrived be read before a connection ends in favour of a
 	// new one.
 	crowdedDelay = time.Millisecond
@@ -75,7 +77,8 @@
 }
 
 // NewCallerListener returns a listener for an http.Server whose idle timeout is
-// IdleTimeoutPlaceholder.
+// IdleTimeoutPlaceholder. The bounds of heads need one whose timeout for heads is
+// HeadTimeoutPlaceholder.
 func NewCallerListener(config CallerListenerConfig) *CallerListener {
 	if config.Guard == nil {
 		config.Guard = bhguard.NewPool(bhguard.PoolConfig{}).NewGuard(bhguard.GuardConfig{})
