Entry: answers that callers don't read have a bound by the memory

An entry granted each call a window of 256 KiB, whatever its memory, so its bound was the number of connections times that.

The window is what an eighth of the memory gives each connection that a caller may have, 24 KiB on that machine and 256 at most; bodies have the other half of their budget, 4 MiB at least. The kernel holds 128 KiB of an answer at most, as at gateways.

--- a/bhentry/callers.go
+++ b/bhentry/callers.go
@@ -27,6 +27,11 @@
 	// to pass it on.
 	headCopies = 4
 	bodyCopies = 3
+	// answerShare is the part of the memory for bodies and answers, as its inverse, that is for
+	// answers which callers haven't read.
+	answerShare = 2
+	// callerWriteBuffer bounds what the kernel holds for a caller that doesn't read, in bytes.
+	callerWriteBuffer = 128 << 10
 	// noRoomRetryAfter is sent with requests for which there is no memory.
 	noRoomRetryAfter = time.Second
 	// contextKeyBody is the key of what is held for the request's body.
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -159,7 +159,7 @@
 		return err
 	}
 	submit.Body = body
-	submit.Window = receiveWindowBytes
+	submit.Window = receiveWindow(e.config.Limits)
 	deadline, ok := ctx.Deadline()
 	if !ok {
 		return errors.New("request context has no deadline")
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -111,12 +111,14 @@
 	return e
 }
 
-// newBodies returns the budget of callers' bodies.
+// newBodies returns the budget of callers' bodies, what answers leave of the memory for both. A
+// single body is taken in any case.
 func newBodies(limits bhguard.Limits) *bhspool.Budget {
 	if limits.Bodies <= 0 {
 		return bhspool.New(bhspool.Config{Total: math.MaxInt64})
 	}
-	return bhspool.New(bhspool.Config{Total: limits.Bodies / bodyCopies})
+	total := (limits.Bodies - limits.Bodies/answerShare) / bodyCopies
+	return bhspool.New(bhspool.Config{Total: max(maxBodyBytes, total)})
 }
 
 // Run serves until ctx is done, then stops gracefully: it stops accepting
@@ -132,7 +134,9 @@
 	servingCtx, stop := context.WithCancel(context.Background())
 	defer stop()
 	ports := bhserve.NewPorts(bhserve.PortsConfig{Limits: e.config.Limits, Logger: e.logger, Scope: e.config.Metrics.Scope})
-	callers := ports.Callers(bhserve.CallerListenerConfig{Listener: listeners[0], IdleTimeout: func() time.Duration { return callerIdleTimeout }}, e.callerHandler())
+	callers := ports.Callers(bhserve.CallerListenerConfig{
+		Listener: listeners[0], WriteBuffer: callerWriteBuffer, IdleTimeout: func() time.Duration { return callerIdleTimeout },
+	}, e.callerHandler())
 	e.callers = callers.Callers
 	supervisor := bhtree.New(bhtree.Config{Name: "entry", Logger: e.logger})
 	supervisor.Add("callers", callers.Run(servingCtx))
--- a/bhentry/livelink.go
+++ b/bhentry/livelink.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 	"github.com/baobabhaven/baobabhaven/bhlink"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -14,13 +15,23 @@
 // cancelTimeout is how long sending a cancel frame may take.
 const cancelTimeout = time.Second
 
-// receiveWindowBytes is the largest number of response bytes per call that may
-// be in transit to this entry or buffered in it.
-const receiveWindowBytes = 256 << 10
+const (
+	// maxReceiveWindow and minReceiveWindow bound the number of response bytes per call that may
+	// be in transit to this entry or buffered in it.
+	maxReceiveWindow = 256 << 10
+	minReceiveWindow = 16 << 10
+	// creditSteps is the part of the window, as its inverse, that is acknowledged together.
+	creditSteps = 4
+)
 
-// creditStepBytes is the number of received bytes that are acknowledged
-// together.
-const creditStepBytes = receiveWindowBytes / 4
+// receiveWindow returns the window of a call: the memory for answers, if all connections of
+// callers wait for one.
+func receiveWindow(limits bhguard.Limits) int {
+	if limits.Callers <= 0 || limits.Bodies <= 0 {
+		return maxReceiveWindow
+	}
+	return int(min(maxReceiveWindow, max(minReceiveWindow, limits.Bodies/answerShare/int64(limits.Callers))))
+}
 
 // liveLink multiplexes requests to one sidecar over a live session and delivers
 // response frames to their calls.
@@ -88,6 +99,7 @@
 	if err != nil {
 		return nil, err
 	}
+	call.window = submit.Window
 	if err := l.session.SendMessage(ctx, bhwire.KindSubmit, call.id, submit); err != nil {
 		l.removeCall(call)
 		return nil, err
@@ -117,6 +129,8 @@
 type call struct {
 	link *liveLink
 	id   uint64
+	// window is in bytes.
+	window int
 
 	mu              sync.Mutex
 	inbox           []bhwire.Frame
@@ -199,13 +213,13 @@
 }
 
 // grantCredit acknowledges the bytes of a data frame to the sidecar once
-// creditStepBytes have accumulated. Only the receiving goroutine calls it.
+// a part of the window has accumulated. Only the receiving goroutine calls it.
 func (c *call) grantCredit(ctx context.Context, frame bhwire.Frame) {
 	if frame.Kind != bhwire.KindData {
 		return
 	}
 	c.uncreditedBytes += len(frame.Body)
-	if c.uncreditedBytes < creditStepBytes {
+	if c.uncreditedBytes < c.window/creditSteps {
 		return
 	}
 	credit := bhwire.Credit{Bytes: c.uncreditedBytes}
--- a/soak/crowd_ports_test.go
+++ b/soak/crowd_ports_test.go
@@ -155,6 +155,9 @@
 		t.Cleanup(server.Close)
 		return server.Listener.Addr().String()
 	}
+	upstream := http.NewServeMux()
+	upstream.Handle("/", bhstand.NewPlain(bhstand.PlainConfig{Name: "bookings-1"}))
+	upstream.HandleFunc("/public/large", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, crowdAnswer)) })
 	platform := "http://" + serve(bhstand.NewPlatform(bhstand.PlatformConfig{}))
 	client := bhplatform.NewClient(bhplatform.ClientConfig{URL: platform})
 	t.Cleanup(func() { _ = client.Close() })
@@ -163,8 +166,8 @@
 		Groups: []bhconf.Group{{Name: "bookings", Kind: bhconf.KindPlain}},
 		Routes: []bhconf.Route{{Prefix: "/public", Group: "bookings", Open: true, Idempotent: []string{http.MethodGet, http.MethodPost}}},
 		Upstreams: []bhconf.Upstream{{
-			Name: "bookings-1", Group: "bookings", Host: "sidecar-1", Address: serve(bhstand.NewPlain(bhstand.PlainConfig{Name: "bookings-1"})),
-			Slots: 8, State: bhconf.StateServe,
+			Name: "bookings-1", Group: "bookings", Host: "sidecar-1", Address: serve(upstream),
+			Slots: crowdSlots, State: bhconf.StateServe,
 		}},
 	}))
 	f := &crowdFleet{}
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -36,6 +36,10 @@
 	crowdTime = time.Second
 	// crowdTurn bounds what a client does on one connection.
 	crowdTurn = 10 * time.Second
+	// crowdAnswer is the size of a large answer, and crowdSlots is how many requests the upstream of
+	// an entry takes at once.
+	crowdAnswer = 4 << 20
+	crowdSlots  = 2 * largeCrowd
 	// answerLimit ends the wait for an ordinary request's answer. It is no bound of the
 	// answer's time.
 	answerLimit = 60 * time.Second
@@ -260,6 +264,16 @@
 	}
 }
 
+// TestCrowdReadsNothing has a crowd ask for large answers and read nothing of them. Those of a
+// gateway are bounded by bhspool, which has tests of its own.
+func TestCrowdReadsNothing(t *testing.T) {
+	f := newCrowdFleet(t, crowdDescriptors)
+	v := f.victim(f.entry, f.entry.front)
+	press(t, v, attack{name: "large answers", count: largeCrowd, turn: send(func(*victim) []byte {
+		return []byte("GET /public/large HTTP/1.1\r\nHost: entry.example\r\n\r\n")
+	})})
+}
+
 // TestCrowdReload has a crowd press while the gateway reads its settings again.
 func TestCrowdReload(t *testing.T) {
 	w := newCrowdWorld(t, crowdDescriptors)
