Ports: callers that don't read their answers make room for others

Requests in flight never end for newcomers, and a caller that reads nothing counted as one for as long as a write may take.

A write that isn't done after 2 s marks its connection as stalled, until it is done. Stalled connections go after the idle ones and before those that were just accepted. If there is room they go on as before, up to the time of the answer's own rules.

--- a/bhguard/guard.go
+++ b/bhguard/guard.go
@@ -18,6 +18,8 @@
 	pending phase = iota
 	// working connections have a request in flight.
 	working
+	// stalled ones have one too, whose caller doesn't read the answer.
+	stalled
 	// idle connections wait for the next request.
 	idle
 )
@@ -85,7 +87,7 @@
 func (p *Pool) NewGuard(config GuardConfig) *Guard { return &Guard{pool: p, config: config} }
 
 // Open returns a connection that was accepted, or nil if it has to be closed because all others
-// have requests in flight. To make room, Open ends another one. The connection is pending. Its
+// have requests in flight and read their answers. To make room, Open ends another one. The connection is pending. Its
 // owner calls Close once it is closed. The function end closes the connection and may be called
 // at any time before.
 func (g *Guard) Open(end func()) *Conn {
@@ -138,8 +140,10 @@
 	if slow != nil && now.Sub(slow.since) >= patience {
 		return slow
 	}
-	if resting := first(idle); resting != nil {
-		return resting
+	for _, phase := range []phase{idle, stalled} {
+		if other := first(phase); other != nil {
+			return other
+		}
 	}
 	if slow == nil && g.config.EndWorking {
 		return first(working)
@@ -168,6 +172,9 @@
 // Work records that the request has arrived.
 func (c *Conn) Work() { c.change(working) }
 
+// Stall records that the caller doesn't read the answer.
+func (c *Conn) Stall() { c.change(stalled) }
+
 // Rest records that the request was answered, and frees its memory.
 func (c *Conn) Rest() { c.change(idle) }
 
--- a/bhguard/guard_test.go
+++ b/bhguard/guard_test.go
@@ -53,6 +53,23 @@
 	})
 }
 
+// Callers that don't read their answers make room before the requests of others do.
+func TestStalledConnectionsEndBeforeWorkingOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &opener{guard: NewPool(PoolConfig{}).NewGuard(GuardConfig{Connections: 2})}
+		stuck, working := o.open("stuck"), o.open("working")
+		working.Work()
+		stuck.Work()
+		assert.Nil(t, o.open("early"))
+		stuck.Stall()
+		o.open("next").Work()
+		assert.Equal(t, []string{"stuck"}, o.ended)
+		working.Stall()
+		working.Work()
+		assert.Nil(t, o.open("late"), "it reads on")
+	})
+}
+
 func TestWorkingConnectionsEndWhereRequestsTakeNoTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := &opener{guard: NewPool(PoolConfig{}).NewGuard(GuardConfig{Connections: 1, EndWorking: true})}
@@ -130,7 +147,7 @@
 	}
 	c := rapid.SampledFrom(s.conns).Draw(t, "conn")
 	s.working[c] = false
-	switch rapid.IntRange(0, 3).Draw(t, "what") {
+	switch rapid.IntRange(0, 4).Draw(t, "what") {
 	case 0:
 		c.Begin()
 	case 1:
@@ -138,6 +155,8 @@
 		s.working[c] = true
 	case 2:
 		c.Rest()
+	case 3:
+		c.Stall()
 	default:
 		c.Close()
 	}
--- a/bhserve/conn.go
+++ b/bhserve/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -42,8 +43,8 @@
 	meter  bhguard.Meter
 	// readDeadline is the one for the body of the present request; zero if there is none.
 	readDeadline time.Time
-	// ownWriteDeadline is set while the handler has set a deadline for writes.
-	ownWriteDeadline bool
+	// writeDeadline is the one that the handler has set; zero if there is none.
+	writeDeadline time.Time
 }
 
 // NetConn returns the connection that is wrapped.
@@ -167,13 +168,7 @@
 func (c *callerConn) Write(data []byte) (int, error) {
 	written := 0
 	for {
-		piece := data[:min(len(data), writePiece)]
-		c.mu.Lock()
-		if !c.ownWriteDeadline {
-			_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
-		}
-		c.mu.Unlock()
-		n, err := c.Conn.Write(piece)
+		n, err := c.writePiece(data[:min(len(data), writePiece)])
 		written += n
 		data = data[n:]
 		if err != nil || len(data) == 0 {
@@ -182,11 +177,47 @@
 	}
 }
 
+// writePiece writes the piece, and records if that takes long.
+func (c *callerConn) writePiece(piece []byte) (int, error) {
+	limit := time.Now().Add(writeTimeout)
+	c.limitWrite(limit, stallTimeout)
+	n, err := c.Conn.Write(piece)
+	if !errors.Is(err, os.ErrDeadlineExceeded) || !c.limitWrite(limit, writeTimeout) {
+		return n, err
+	}
+	c.held.Stall()
+	more, err := c.Conn.Write(piece[n:])
+	if err == nil {
+		c.held.Work()
+	}
+	return n + more, err
+}
+
+// limitWrite sets the deadline for a write: that of the handler, or else the limit, but not later
+// than after the time. It reports whether the deadline is yet to come.
+func (c *callerConn) limitWrite(limit time.Time, most time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.writeDeadline.IsZero() {
+		limit = c.writeDeadline
+	}
+	now := time.Now()
+	if !limit.After(now) {
+		_ = c.Conn.SetWriteDeadline(limit)
+		return false
+	}
+	if soon := now.Add(most); soon.Before(limit) {
+		limit = soon
+	}
+	_ = c.Conn.SetWriteDeadline(limit)
+	return true
+}
+
 // SetWriteDeadline implements net.Conn.
 func (c *callerConn) SetWriteDeadline(deadline time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.ownWriteDeadline = !deadline.IsZero()
+	c.writeDeadline = deadline
 	return c.Conn.SetWriteDeadline(deadline)
 }
 
--- a/bhserve/conn_test.go
+++ b/bhserve/conn_test.go
@@ -134,6 +134,44 @@
 	}
 }
 
+// Guards against callers that read nothing and keep all others out.
+func TestCallersThatReadNothingMakeRoom(t *testing.T) {
+	begun := make(chan struct{})
+	connect := boundedServer(t, bhguard.Limits{Callers: 2}, CallerListenerConfig{WriteBuffer: 16 << 10}, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/large" {
+			begun <- struct{}{}
+			_, _ = w.Write(make([]byte, 64<<20))
+		}
+		whole(w, r)
+	})
+	for range 2 {
+		conn, _ := connect()
+		fmt.Fprint(conn, strings.Replace(requestHead, "/", "/large", 1)+"\r\n")
+		<-begun
+	}
+	assert.Eventually(t, func() bool {
+		conn, reader := connect()
+		fmt.Fprint(conn, requestHead+"\r\n")
+		return readAnswer(reader) == "whole"
+	}, writeTimeout/2, 50*time.Millisecond)
+}
+
+// Guards against a slow caller whose answer is cut because a piece of it took long.
+func TestSlowCallerGetsAWholeAnswer(t *testing.T) {
+	const size = 4 << 20
+	connect := boundedServer(t, bhguard.Limits{Callers: 2}, CallerListenerConfig{WriteBuffer: 16 << 10}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, size))
+	})
+	conn, reader := connect()
+	fmt.Fprint(conn, requestHead+"\r\n")
+	time.Sleep(stallTimeout + stallTimeout/2)
+	response, err := http.ReadResponse(reader, nil)
+	require.NoError(t, err)
+	data, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	assert.Len(t, data, size)
+}
+
 // Guards against connections that wait without end for what a handler leaves of a body.
 func TestRestOfABodyIsNotAwaitedWithoutEnd(t *testing.T) {
 	connect := boundedServer(t, bhguard.Limits{}, CallerListenerConfig{}, whole)
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -28,8 +28,10 @@
 	maxHeadBytes = 1 << 20
 	// readAhead is how many bytes of a body http.Server may read together with the head.
 	readAhead = 4 << 10
-	// writeTimeout bounds how long a caller may read nothing of an answer.
+	// writeTimeout bounds how long a caller may read nothing of an answer. After stallTimeout its
+	// connection may end in favour of others.
 	writeTimeout = 30 * time.Second
+	stallTimeout = 2 * time.Second
 	// writePiece is what a caller has to read within writeTimeout, in bytes.
 	writePiece = 32 << 10
 	// restTimeout bounds the wait for the rest of a request that isn't used any more.
