--- a/bhhost/file_test.go
+++ b/bhhost/file_test.go
@@ -138,6 +138,7 @@
 		func(s *Settings) { s.Platform = "" },
 		func(s *Settings) { s.Revocation = 0 },
 		func(s *Settings) { s.Memory = -1 },
+		func(s *Settings) { s.Descriptors = -1 },
 	} {
 		invalid := valid
 		invalidate(&invalid)
