Ports: callers leave descriptors for as many upstreams

By the limits alone, the callers of a gateway with 400 descriptors could have 100 of 200 sockets and those of its other ports 32, so that 68 were left for the connections to upstreams of 100 requests in flight. Found by reading; the crowds of TestCrowd don't get their requests so far.

Callers have a third instead of half. TestLimitsFitTheMachine, which counts an upstream for each caller now, failed before.

--- a/bhguard/limits.go
+++ b/bhguard/limits.go
@@ -22,8 +22,9 @@
 	bodyShare = 4
 	// callerShare, peerShare and operatorShare are the parts of the sockets, as their inverse, for
 	// connections of callers, of the fleet's other processes, and for checks and metrics. The rest
-	// is for connections that the process opens.
-	callerShare   = 2
+	// is for connections that the process opens, which are one to an upstream for each caller at
+	// most, and those to the platform.
+	callerShare   = 3
 	peerShare     = 4
 	operatorShare = 16
 	// minOperators is enough for the checks and the collectors of metrics of one process.
--- a/bhguard/limits_test.go
+++ b/bhguard/limits_test.go
@@ -22,8 +22,10 @@
 		connections := limits.Callers + limits.Peers + 2*limits.Operators
 		assert.Less(t, limits.Callers+2*limits.Operators, machine.Descriptors, "%+v", machine)
 		assert.Positive(t, limits.Callers)
-		if machine.Descriptors > 2*reservedFiles {
+		if machine.Descriptors >= 2*reservedFiles {
 			assert.LessOrEqual(t, connections, machine.Descriptors-reservedFiles, "%+v", machine)
+			upstreams := limits.Callers // one each
+			assert.Less(t, limits.Callers+upstreams+2*limits.Operators, machine.Descriptors-reservedFiles, "%+v", machine)
 		}
 		callers := int64(limits.Callers) * connMemory
 		assert.LessOrEqual(t, callers+limits.Heads+limits.Bodies, machine.Memory*2/3, "%+v", machine)
