Ports: callers wait for their turn at a full port

Three ways in which callers kept others out of a full port, or ended each other:

A connection has 250 ms now to bring its request, and newcomers wait for that in the kernel. - Links had 16 KiB for what a peer sends, also once it is known, which would slow bodies between regions down; found by reading. A proven link has what the system allows up to 1 MiB.

A head whose first byte came while the connection was about to end in a stop had no time limit; found by reading, the order is changed.

--- a/bhguard/guard.go
+++ b/bhguard/guard.go
@@ -6,9 +6,14 @@
 	"time"
 )
 
-// patience is how long a connection may bring nothing whole before it ends in favour of
-// others rather than one that has served a request and is idle.
-const patience = time.Second
+const (
+	// patience is how long a connection may bring nothing whole before it ends in favour of
+	// others rather than one that has served a request and is idle.
+	patience = time.Second
+	// leastPatience is how long it may do so in any case, so that clients which connect at once,
+	// as after an outage, don't end each other.
+	leastPatience = 250 * time.Millisecond
+)
 
 // phase is what a connection does.
 type phase int
@@ -67,8 +72,8 @@
 type GuardConfig struct {
 	// Connections bounds the number of open connections; zero means no bound.
 	Connections int
-	// EndWorking also ends connections with a request in flight in favour of others, for ports
-	// whose requests take no time.
+	// EndWorking also ends connections with a request in flight in favour of others, and has none
+	// wait, for ports whose requests take no time.
 	EndWorking bool
 }
 
@@ -114,17 +119,25 @@
 	return c
 }
 
-// Crowded reports whether a new connection would end one that was accepted just now, whose request
-// may have arrived.
+// Full reports whether all connections that the port may have are open, so that each should end
+// after its answer and give others their turn.
+func (g *Guard) Full() bool {
+	g.pool.mu.Lock()
+	defer g.pool.mu.Unlock()
+	return g.config.Connections > 0 && g.open >= g.config.Connections
+}
+
+// Crowded reports whether a new connection has to wait, as Open would end one that hasn't had time
+// to bring its request.
 func (g *Guard) Crowded() bool {
 	g.pool.mu.Lock()
 	defer g.pool.mu.Unlock()
-	if g.config.Connections == 0 || g.open < g.config.Connections {
+	if g.config.EndWorking || g.config.Connections == 0 || g.open < g.config.Connections {
 		return false
 	}
 	now := time.Now()
 	victim := g.victim(now)
-	return victim != nil && victim.phase == pending && now.Sub(victim.since) < patience
+	return victim != nil && victim.phase == pending && now.Sub(victim.since) < leastPatience
 }
 
 // victim returns the connection that ends in favour of a new one, or nil. The caller holds the
--- a/bhguard/guard_test.go
+++ b/bhguard/guard_test.go
@@ -37,7 +37,7 @@
 		assert.Equal(t, []string{"silent"}, o.ended, "it has brought nothing for the longest time")
 		o.open("second").Work()
 		assert.Equal(t, []string{"silent", "kept"}, o.ended, "slow's request has begun less than a second ago")
-		assert.True(t, o.guard.Crowded())
+		assert.False(t, o.guard.Crowded(), "slow had time to bring its request")
 		o.open("third").Work()
 		assert.Equal(t, []string{"silent", "kept", "slow"}, o.ended)
 		assert.Nil(t, o.open("fourth"), "all are working")
@@ -70,6 +70,26 @@
 	})
 }
 
+// Guards against clients that end each other because all connect at once.
+func TestNewConnectionsWaitForOnesThatWereJustAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := &opener{guard: NewPool(PoolConfig{}).NewGuard(GuardConfig{Connections: 2})}
+		first := o.open("first")
+		assert.False(t, o.guard.Crowded())
+		second := o.open("second")
+		assert.True(t, o.guard.Crowded())
+		first.Work()
+		second.Work()
+		assert.False(t, o.guard.Crowded(), "there is nothing to wait for")
+		first.Rest()
+		assert.False(t, o.guard.Crowded(), "an idle one makes room")
+		first.Begin()
+		assert.True(t, o.guard.Crowded())
+		time.Sleep(leastPatience)
+		assert.False(t, o.guard.Crowded())
+	})
+}
+
 func TestWorkingConnectionsEndWhereRequestsTakeNoTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := &opener{guard: NewPool(PoolConfig{}).NewGuard(GuardConfig{Connections: 1, EndWorking: true})}
--- a/bhserve/conn.go
+++ b/bhserve/conn.go
@@ -79,6 +79,10 @@
 func (c *callerConn) arrived(data []byte) string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.ending { // the request came first
+		c.ending = false
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
 	if c.idle {
 		c.idle = false
 		c.held.Begin()
@@ -86,10 +90,6 @@
 			_ = c.Conn.SetReadDeadline(time.Now().Add(c.listener.headTimeout()))
 		}
 	}
-	if c.ending { // the request came first
-		c.ending = false
-		_ = c.Conn.SetReadDeadline(time.Time{})
-	}
 	if !c.inHead {
 		return ""
 	}
@@ -252,11 +252,16 @@
 	return conn == nil || conn.held.Hold(bytes)
 }
 
-// Keep records that the connection of the request has brought what it was opened for, so that it
-// doesn't end in favour of others.
+// Keep records that the connection of the request has become a link to a known peer, which doesn't
+// end in favour of others and is read all the time.
 func Keep(ctx context.Context) {
-	if conn := connOf(ctx); conn != nil {
-		conn.held.Work()
+	conn := connOf(ctx)
+	if conn == nil {
+		return
+	}
+	conn.held.Work()
+	if socket, ok := conn.Conn.(*net.TCPConn); ok {
+		_ = socket.SetReadBuffer(linkReadBuffer)
 	}
 }
 
@@ -272,5 +277,9 @@
 	}
 }
 
-// maxReadBuffer bounds the kernel's buffer for the body of one request, in bytes.
-const maxReadBuffer = 256 << 10
+// maxReadBuffer and linkReadBuffer are the largest kernel's buffers for the body of one request and
+// for a link, in bytes. The system may bound them further.
+const (
+	maxReadBuffer  = 256 << 10
+	linkReadBuffer = 1 << 20
+)
--- a/bhserve/conn_test.go
+++ b/bhserve/conn_test.go
@@ -172,6 +172,23 @@
 	assert.Len(t, data, size)
 }
 
+// Guards against callers that send one request after the other and keep all others out.
+func TestConnectionsOfAFullPortEndAfterTheirAnswer(t *testing.T) {
+	connect := boundedServer(t, bhguard.Limits{Callers: 2}, CallerListenerConfig{}, whole)
+	first, firstReader := connect()
+	ask := func() bool {
+		fmt.Fprint(first, requestHead+"\r\n")
+		response, err := http.ReadResponse(firstReader, nil)
+		require.NoError(t, err)
+		_, err = io.ReadAll(response.Body)
+		require.NoError(t, err)
+		return response.Close
+	}
+	assert.False(t, ask())
+	connect()
+	assert.Eventually(t, ask, 5*time.Second, time.Millisecond, "once the other one was accepted")
+}
+
 // Guards against connections that wait without end for what a handler leaves of a body.
 func TestRestOfABodyIsNotAwaitedWithoutEnd(t *testing.T) {
 	connect := boundedServer(t, bhguard.Limits{}, CallerListenerConfig{}, whole)
--- a/bhserve/listener.go
+++ b/bhserve/listener.go
@@ -38,9 +38,8 @@
 	restTimeout = time.Second
 	// maxRest bounds what is read of a request that was refused, in bytes.
 	maxRest = 256 << 10
-	// crowdedDelay lets requests that have arrived be read before a connection ends in favour of a
-	// new one.
-	crowdedDelay = time.Millisecond
+	// crowdedInterval is the time between two looks for room for a new connection.
+	crowdedInterval = time.Millisecond
 	// firstRequestGrace is how long a connection that Drain finds accepted may take
 	// to send its first request. Clients send it right after the handshake.
 	firstRequestGrace = time.Second
@@ -100,8 +99,8 @@
 			}
 			return nil, err
 		}
-		if l.config.Guard.Crowded() {
-			time.Sleep(crowdedDelay)
+		for l.config.Guard.Crowded() {
+			time.Sleep(crowdedInterval)
 		}
 		if conn := l.keep(accepted); conn != nil {
 			return conn, nil
--- a/bhserve/server.go
+++ b/bhserve/server.go
@@ -110,7 +110,8 @@
 }
 
 // awaitBody returns a handler that records when a request has arrived as a whole, and bounds the
-// wait for what the handler leaves of it.
+// wait for what the handler leaves of it. If the port is full, the caller is asked to close its
+// connection, so that requests sent one after the other don't keep others out.
 func awaitBody(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		conn := connOf(r.Context())
@@ -118,6 +119,9 @@
 			next.ServeHTTP(w, r)
 			return
 		}
+		if conn.listener.config.Guard.Full() {
+			w.Header().Set("Connection", "close")
+		}
 		if r.Body == nil || r.Body == http.NoBody {
 			conn.held.Work()
 			next.ServeHTTP(w, r)
