Links: a refused caller is no warning

1000 callers that pipelined requests at an entry's link made it log 14.0 of the 14.7 MB that TestCrowd allows, as long as they went on: refusals were warnings, of which 2,000 a second pass.

They are logged at info level and sampled like other lines that callers cause.

--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -186,7 +186,7 @@
 func (e *Entry) acceptControl(w http.ResponseWriter, r *http.Request) {
 	session, err := bhlink.Accept(w, r, e.linkConfig())
 	if err != nil {
-		bhlog.Problem(e.logger, "link.refused", err, "source", r.RemoteAddr)
+		bhlog.Event(e.logger, "link.refused", "err", err, "source", r.RemoteAddr)
 		return
 	}
 	if session.Peer.Class != bhlink.ClassControl {
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -189,7 +189,7 @@
 	defer s.linkHandlers.Done()
 	session, err := bhlink.Accept(w, r, s.linkConfig())
 	if err != nil {
-		bhlog.Problem(s.logger, "link.refused", err, "source", r.RemoteAddr)
+		bhlog.Event(s.logger, "link.refused", "err", err, "source", r.RemoteAddr)
 		return
 	}
 	bhserve.Keep(r.Context())
