--- a/bhserve/conn_test.go
+++ b/bhserve/conn_test.go
@@ -59,6 +59,7 @@
 	timeout.Store(int64(50 * time.Millisecond))
 	conn, reader := connect()
 	fmt.Fprint(conn, requestHead)
+	_ = conn.SetReadDeadline(time.Now().Add(DefaultHeadTimeout / 2))
 	_, err := reader.ReadByte()
 	assert.ErrorIs(t, err, io.EOF, "the head takes too long")
 }
