review: a batch job that the runners work on can't be ended in time

Cause: an end is one compare-and-set of the job's row beside those of all runners, without precedence; while n of them wait in the partition about one in n succeeds, and the end gives up after twelve.

Change: review/8 shows it with a script. The stand-in of the workers reads the body first, as it otherwise didn't notice that a channel closed, and kept slots; all scripts were run again with it.

--- a/review/_stand2/client.go
+++ b/review/_stand2/client.go
@@ -89,7 +89,7 @@
 	}
 	for range 4 {
 		got := call(front, http.MethodPost, batchPrefix+job[:6], job, body, 4*time.Second)
-		w.note("client: job %s with %d items is sent: %d", job, len(items), got.status)
+		w.note("client: job %+q with %d items is sent: %d", job, len(items), got.status)
 		if got.status == http.StatusAccepted {
 			return true
 		}
--- a/review/_stand2/engine.go
+++ b/review/_stand2/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -92,7 +93,10 @@
 	e.mu.Lock()
 	e.down, e.born, e.version = false, time.Now(), version
 	e.mu.Unlock()
-	w.serve(e.address, e)
+	server = w.serve(e.address, e)
+	w.mu.Lock()
+	w.servers[e] = server
+	w.mu.Unlock()
 	w.store.set("servers", e.id, e.entry(1))
 }
 
@@ -105,6 +109,10 @@
 
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	// The server notices that the connection closes only once the body is read.
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
+	}
 	w.Header().Set("X-Instance-Id", e.id)
 	if id := r.Header.Get("X-Request-Id"); id != "" {
 		w.Header().Set("X-Request-Id", id)
--- a/review/_stand2/world.go
+++ b/review/_stand2/world.go
@@ -31,6 +31,7 @@
 	"cancel":  playCancel,
 	"foreign": playForeign,
 	"garble":  playGarble,
+	"latin":   playLatin,
 	"upgrade": playUpgrade,
 }
 
