Jobs: an output that isn't UTF-8 makes no record unreadable

Cause: results and checkpoints hold the output as CBOR text. The encoder writes any bytes as text, the decoder refuses what isn't UTF-8, and one result that can't be decoded failed the whole page. A checkpoint with such a byte kept its item from being started by other runners.

Change: a client gets the output as JSON text, so an event that isn't UTF-8 ends an item's stream as one that broke off; the item goes on after the event before it. Records are decoded leniently, so those of earlier versions are read. A result, checkpoint or item that can't be read costs itself alone.

--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -199,9 +199,9 @@
 	f.Add("\ufeffid: 1\r\n\r\nout of memory\n\n")
 	f.Fuzz(func(t *testing.T, text string) {
 		data := []byte(text)[:CompleteLength([]byte(text))]
-		length, err := soundLength(data)
+		length, err := soundLength(data, false)
 		assert.Equal(t, err == nil, length == len(data))
-		again, err := soundLength(data[:length])
+		again, err := soundLength(data[:length], false)
 		require.NoError(t, err)
 		assert.Equal(t, length, again)
 	})
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -25,6 +25,9 @@
 	// EndsWithConnection says that io.EOF means no more than that the connection was
 	// closed. The stream must then have at least one event.
 	EndsWithConnection bool
+	// Text says that the IDs and the data of events must be UTF-8, as they are kept as text. An
+	// event of which they aren't is no event.
+	Text bool
 }
 
 // Reader reads complete events from a stream that may break off in the middle of
@@ -60,7 +63,7 @@
 	n, err := r.config.Source.Read(r.buffer)
 	r.pending = append(r.pending, r.buffer[:n]...)
 	r.returned = CompleteLength(r.pending)
-	sound, soundErr := soundLength(r.pending[:r.returned])
+	sound, soundErr := soundLength(r.pending[:r.returned], r.config.Text)
 	events := r.pending[:sound]
 	if progressErr := r.config.Progress.Advance(events); progressErr != nil {
 		return nil, progressErr
--- a/bhevent/sound.go
+++ b/bhevent/sound.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"regexp"
 	"slices"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 	"golang.org/x/net/http/httpguts"
@@ -24,8 +25,8 @@
 
 // soundLength returns the length of the events at the start of data, which ends with a blank
 // line if it isn't empty. If data holds something else, it returns an error, too: upstreams
-// may write errors into their streams.
-func soundLength(data []byte) (int, error) {
+// may write errors into their streams. With text, IDs and data must be UTF-8.
+func soundLength(data []byte, text bool) (int, error) {
 	var current block
 	start := 0
 	for at := 0; at < len(data); {
@@ -33,9 +34,13 @@
 		line := bytes.TrimSuffix(data[at:end-1], []byte("\r"))
 		at = end
 		if len(line) > 0 {
-			if !current.add(bytes.TrimPrefix(line, []byte(byteOrderMark))) {
+			line = bytes.TrimPrefix(line, []byte(byteOrderMark))
+			if !current.add(line) {
 				return start, errors.Errorf("line %q of a stream is no field of an event", line[:min(len(line), maxQuoted)])
 			}
+			if text && isKept(line) && !utf8.Valid(line) {
+				return start, errors.Errorf("line %q of a stream is not UTF-8", line[:min(len(line), maxQuoted)])
+			}
 			continue
 		}
 		if !current.isEvent() {
@@ -46,6 +51,12 @@
 	return start, nil
 }
 
+// isKept reports whether Parse returns the line's value.
+func isKept(line []byte) bool {
+	name, _, _ := bytes.Cut(line, []byte(":"))
+	return string(name) == "id" || string(name) == "data"
+}
+
 // block is what is known of the lines between two blank lines of a stream.
 type block struct {
 	known, unknown bool
--- a/bhjob/claim.go
+++ b/bhjob/claim.go
@@ -4,8 +4,8 @@
 	"context"
 	"slices"
 	"time"
+	"unicode/utf8"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -122,7 +122,7 @@
 }
 
 // LoadCheckpoint returns the checkpoint from which to resume the item, or an
-// empty one if none is stored.
+// empty one if none is stored or the stored one can't be resumed.
 func (s *JobStore) LoadCheckpoint(ctx context.Context, job *Job, id string) (Checkpoint, error) {
 	var checkpoint Checkpoint
 	state := job.item(id)
@@ -133,8 +133,15 @@
 	if err != nil || record == nil {
 		return checkpoint, err
 	}
-	err = errors.Wrap(cbor.Unmarshal(record.Value, &checkpoint), "decoding a checkpoint")
-	return checkpoint, err
+	err = decode(record.Value, &checkpoint)
+	if err == nil && !utf8.ValidString(checkpoint.LastEvent+checkpoint.Text) {
+		err = errors.New("the output is not UTF-8")
+	}
+	if err != nil {
+		bhlog.Problem(s.config.Logger, "checkpoint.unreadable", err, "record", record.Key.Name)
+		return Checkpoint{}, nil
+	}
+	return checkpoint, nil
 }
 
 // ItemCheckpoint is the checkpoint of a running item.
--- a/bhjob/output.go
+++ b/bhjob/output.go
@@ -57,14 +57,15 @@
 }
 
 // receiveEvents receives events until the stream ends. It restarts the stall
-// timer whenever events arrive.
+// timer whenever events arrive. An event that isn't UTF-8 ends the stream as one that broke
+// off: clients get the output as JSON text, which can't hold it.
 func (ir *itemRun) receiveEvents(answer *bhforward.Answer, stall *time.Timer) error {
 	progress := &bhevent.Progress{Last: ir.checkpoint.LastEvent}
 	if progress.Last != "" {
 		progress.Resume()
 	}
 	reader := bhevent.NewReader(bhevent.ReaderConfig{
-		Source: answer.Body, Progress: progress, EndsWithConnection: answer.Framing == bhforward.FramedByClose,
+		Source: answer.Body, Progress: progress, EndsWithConnection: answer.Framing == bhforward.FramedByClose, Text: true,
 	})
 	for {
 		events, err := reader.Next()
--- a/bhjob/read.go
+++ b/bhjob/read.go
@@ -4,11 +4,12 @@
 	"context"
 	"io"
 	"strings"
+	"unicode/utf8"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 )
 
@@ -27,14 +28,18 @@
 }
 
 // decodeValue decodes a record's value into value. If the record only names an
-// object, it reads and decodes the object.
+// object, it reads and decodes the object. The error wraps errUnreadable if that can't be
+// decoded or doesn't exist.
 func (s *JobStore) decodeValue(ctx context.Context, data []byte, value any) error {
 	var reference objectReference
-	if err := cbor.Unmarshal(data, &reference); err != nil {
-		return errors.Wrap(err, "decoding a record")
+	if err := decode(data, &reference); err != nil {
+		return err
 	}
 	if reference.Object != "" {
 		body, err := s.config.Objects.Get(ctx, reference.Object, 0)
+		if bhcode.Is(err, bhcode.NotFound) {
+			return errors.WithMessagef(errUnreadable, "object %s is missing", reference.Object)
+		}
 		if err != nil {
 			return errors.Wrapf(err, "object %s", reference.Object)
 		}
@@ -43,7 +48,7 @@
 			return bhcode.Wrap(err, bhcode.PlatformUnavailable, "object "+reference.Object)
 		}
 	}
-	return errors.Wrap(cbor.Unmarshal(data, value), "decoding a record")
+	return decode(data, value)
 }
 
 // Results returns a page of the job's results, in the order in which they were
@@ -70,8 +75,8 @@
 	}
 	size := 0
 	for _, record := range page.Records {
-		var result Result
-		if err := s.decodeValue(ctx, record.Value, &result); err != nil {
+		result, err := s.decodeResult(ctx, record)
+		if err != nil {
 			return Results{}, err
 		}
 		if size += len(result.Text); size > maxResultsBytes && len(results.Results) > 0 {
@@ -83,6 +88,29 @@
 	return results, nil
 }
 
+// decodeResult decodes the record of a result. A result that is unreadable, or whose text isn't
+// UTF-8, counts as one without output: clients can't get it, and its position is taken. If not
+// even its ID is readable, that is empty.
+func (s *JobStore) decodeResult(ctx context.Context, record bhplatform.Record) (Result, error) {
+	var result Result
+	err := s.decodeValue(ctx, record.Value, &result)
+	switch {
+	case errors.Is(err, errUnreadable):
+	case err != nil:
+		return Result{}, err
+	case utf8.ValidString(result.Text) && utf8.ValidString(result.ID):
+		return result, nil
+	default:
+		err = errors.New("the result is not UTF-8")
+	}
+	bhlog.Problem(s.config.Logger, "result.unreadable", err, "record", record.Key.Name)
+	var identity struct {
+		ID string `cbor:"1,keyasint"`
+	}
+	_ = decode(record.Value, &identity) // the ID stays empty
+	return Result{ID: identity.ID, Status: Dead}, nil
+}
+
 // Body returns the request body of an item. The error carries NotFound if there
 // is no such job or item.
 func (s *JobStore) Body(ctx context.Context, account, job, item string) ([]byte, error) {
--- a/bhjob/record.go
+++ b/bhjob/record.go
@@ -93,15 +93,40 @@
 	return key
 }
 
+// lenientDecoder also decodes text that isn't UTF-8, byte for byte. Earlier versions have
+// written such text, which their decoders refuse.
+var lenientDecoder = mustDecoder(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid})
+
+func mustDecoder(options cbor.DecOptions) cbor.DecMode {
+	mode, err := options.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}
+
+// encode returns the value of a record. Text must be UTF-8: the version before doesn't decode
+// the record otherwise.
 func encode(value any) ([]byte, error) {
 	data, err := cbor.Marshal(value)
 	return data, errors.Wrap(err, "encoding a record")
 }
 
+// decode decodes a record's value. The error wraps errUnreadable.
+func decode(data []byte, value any) error {
+	if err := lenientDecoder.Unmarshal(data, value); err != nil {
+		return errors.WithMessage(errUnreadable, err.Error())
+	}
+	return nil
+}
+
+// errUnreadable reports that a record can't be decoded, now or later.
+var errUnreadable = errors.New("the record is unreadable")
+
 func decodeJob(record bhplatform.Record) (*Job, error) {
 	job := &Job{}
-	if err := cbor.Unmarshal(record.Value, job); err != nil {
-		return nil, errors.Wrapf(err, "job record %s", record.Key.Name)
+	if err := decode(record.Value, job); err != nil {
+		return nil, errors.WithMessagef(err, "job record %s", record.Key.Name)
 	}
 	job.Version = record.Version
 	return job, nil
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -390,10 +390,14 @@
 }
 
 // startClaimedItem loads a claimed item and starts it if a slot is free. If the
-// item can't be loaded, it returns the claim. If the record holds another item, which an
-// earlier version stored under the same name, the item ends as one that can't be run.
+// item can't be loaded, it returns the claim. If the record is unreadable or holds another item, which
+// an earlier version stored under the same name, the item ends as one that can't be run.
 func (r *Runner) startClaimedItem(ctx context.Context, job *Job, id string) error {
 	item, err := r.config.Jobs.LoadItem(ctx, job, id)
+	unreadable := errors.Is(err, errUnreadable)
+	if unreadable {
+		err = nil
+	}
 	var checkpoint Checkpoint
 	if err == nil {
 		checkpoint, err = r.config.Jobs.LoadCheckpoint(ctx, job, id)
@@ -413,7 +417,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[claimedRun.ref()] = claimedRun
-	if loadedID != id {
+	switch {
+	case unreadable:
+		claimedRun.recordResult(Result{ID: id, Status: Dead}, errUnreadable.Error())
+		return nil
+	case loadedID != id:
 		claimedRun.recordResult(Result{ID: id, Status: Dead}, fmt.Sprintf("the store has item %q under its name", loadedID))
 		return nil
 	}
--- a/bhjob/sweep.go
+++ b/bhjob/sweep.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -104,7 +103,7 @@
 	var keys []bhplatform.Key
 	for _, record := range records {
 		var reference objectReference
-		if err := cbor.Unmarshal(record.Value, &reference); err == nil && reference.Object != "" {
+		if err := decode(record.Value, &reference); err == nil && reference.Object != "" {
 			if err := s.config.Objects.Delete(ctx, reference.Object); err != nil {
 				return errors.Wrapf(err, "removing object %s", reference.Object)
 			}
