--- a/bhjob/claim.go
+++ b/bhjob/claim.go
@@ -156,7 +156,8 @@
 }
 
 // SaveCheckpoints stores the checkpoints of items, so that another runner can
-// resume them. Checkpoints that are too large for a record are not stored.
+// resume them. Checkpoints that are too large for a record, or whose name is too long, are not
+// stored.
 func (s *JobStore) SaveCheckpoints(ctx context.Context, items []ItemCheckpoint) error {
 	puts := make(map[string][]bhplatform.Put)
 	for _, item := range items {
@@ -165,7 +166,7 @@
 			return err
 		}
 		key := checkpointKey(item.Job, item.ID, item.Holder)
-		if len(value) <= recordLimit {
+		if len(value) <= recordLimit && len(key.Name) <= bhplatform.MaxNameBytes {
 			puts[key.Partition] = append(puts[key.Partition], bhplatform.Put{Key: key, Value: value})
 		}
 	}
--- a/bhjob/submit.go
+++ b/bhjob/submit.go
@@ -150,7 +150,7 @@
 
 // accountQueue returns the queued tokens of the account's open jobs on the
 // route, whether the submitted job is already open, and the reading of the
-// store's clock.
+// store's clock. Jobs that can't be decoded count as open, without tokens.
 func (s *JobStore) accountQueue(ctx context.Context, submission Submission) (int64, bool, time.Duration, error) {
 	prefix := accountPrefix(submission.Account)
 	page, err := bhplatform.ScanAll(ctx, s.config.Store, bhplatform.Range{
@@ -162,14 +162,15 @@
 	var sum int64
 	open := false
 	for _, record := range page.Records {
+		open = open || record.Key.Name == jobName(submission.Account, submission.ID)
 		job, err := decodeJob(record)
 		if err != nil {
-			return 0, false, 0, err
+			bhlog.Problem(s.config.Logger, "job.invalid", err, "record", record.Key.Name)
+			continue
 		}
 		if job.Route == submission.Route {
 			sum += job.QueuedTokens()
 		}
-		open = open || job.ID == submission.ID
 	}
 	return sum, open, page.Now, nil
 }
--- a/bhplatform/store.go
+++ b/bhplatform/store.go
@@ -8,6 +8,10 @@
 	"github.com/pkg/errors"
 )
 
+// MaxNameBytes is the length in bytes of the longest table, partition and record name that
+// stores take.
+const MaxNameBytes = 200
+
 // Key identifies a record by its table, its partition of the table, and its name
 // within the partition.
 type Key struct {
--- a/bhstand/store.go
+++ b/bhstand/store.go
@@ -147,6 +147,9 @@
 	if err := onePartition(transaction); err != nil {
 		return bhplatform.Receipt{}, err
 	}
+	if err := shortNames(transaction); err != nil {
+		return bhplatform.Receipt{}, err
+	}
 	conflict := &bhplatform.ConflictError{Now: s.now()}
 	held := true
 	for _, condition := range transaction.Conditions {
@@ -188,6 +191,23 @@
 	return nil
 }
 
+// shortNames refuses transactions with names that are too long.
+func shortNames(transaction bhplatform.Transaction) error {
+	keys := slices.Clone(transaction.Deletes)
+	for _, condition := range transaction.Conditions {
+		keys = append(keys, condition.Key)
+	}
+	for _, put := range transaction.Puts {
+		keys = append(keys, put.Key)
+	}
+	for _, key := range keys {
+		if longest := max(len(key.Table), len(key.Partition), len(key.Name)); longest > bhplatform.MaxNameBytes {
+			return bhcode.New(bhcode.PlatformUnavailable, "a name has %d bytes of at most %d", longest, bhplatform.MaxNameBytes)
+		}
+	}
+	return nil
+}
+
 // Force sets a record whatever faults are configured, as others than the fleet do. A nil value
 // removes it.
 func (s *Store) Force(key bhplatform.Key, value []byte) error {
