Links: headers pass byte for byte between entries and sidecars

Callers of an entry got 502 for requests that were running if another caller sent a header with a byte that isn't UTF-8, such as a name in ISO 8859-1. The answer kept for an idempotency key came back with replaced bytes.

Frames hold paths and header values as CBOR text; the receiver refused the frame and ended the session with all its requests. bhonce keeps headers as JSON text.

Change: frames are decoded byte for byte, a request that can't be decoded ends alone, and kept answers hold such fields as bytes beside the text, which an earlier version ignores.

--- a/bhonce/record.go
+++ b/bhonce/record.go
@@ -9,7 +9,9 @@
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -56,6 +58,52 @@
 	Body   []byte      `json:"body,omitempty"`
 }
 
+// storedAnswer is the JSON form of an Answer.
+type storedAnswer struct {
+	*plainAnswer
+	// HeaderBytes holds the header fields with a value that isn't UTF-8, of which
+	// encoding/json replaces bytes in Header. Earlier versions ignore it.
+	HeaderBytes map[string][][]byte `json:"headerbytes,omitempty"`
+}
+
+// plainAnswer is an Answer without its methods.
+type plainAnswer Answer
+
+// MarshalJSON implements json.Marshaler.
+func (a Answer) MarshalJSON() ([]byte, error) {
+	stored := storedAnswer{plainAnswer: (*plainAnswer)(&a)}
+	for name, values := range a.Header {
+		if !slices.ContainsFunc(values, func(value string) bool { return !utf8.ValidString(value) }) {
+			continue
+		}
+		if stored.HeaderBytes == nil {
+			stored.HeaderBytes = make(map[string][][]byte)
+		}
+		for _, value := range values {
+			stored.HeaderBytes[name] = append(stored.HeaderBytes[name], []byte(value))
+		}
+	}
+	return json.Marshal(stored)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (a *Answer) UnmarshalJSON(data []byte) error {
+	stored := storedAnswer{plainAnswer: (*plainAnswer)(a)}
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return err
+	}
+	if a.Header == nil {
+		a.Header = make(http.Header)
+	}
+	for name, values := range stored.HeaderBytes {
+		a.Header[name] = nil
+		for _, value := range values {
+			a.Header[name] = append(a.Header[name], string(value))
+		}
+	}
+	return nil
+}
+
 // record is the value of a claim's row in the table.
 type record struct {
 	// ID is unique to the claim.
--- a/bhsidecar/live_session.go
+++ b/bhsidecar/live_session.go
@@ -7,6 +7,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcache"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlink"
+	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -57,13 +58,16 @@
 	case bhwire.KindSubmit:
 		return l.startStream(ctx, frame)
 	case bhwire.KindCredit:
+		stream := l.findStream(frame.Stream)
+		if stream == nil {
+			return nil
+		}
 		credit, err := bhwire.Decode[bhwire.Credit](frame)
 		if err != nil {
-			return err
-		}
-		if stream := l.findStream(frame.Stream); stream != nil {
-			stream.credit.add(credit.Bytes)
+			stream.cancel()
+			return nil
 		}
+		stream.credit.add(credit.Bytes)
 	case bhwire.KindCancel:
 		if stream := l.findStream(frame.Stream); stream != nil {
 			stream.cancel()
@@ -72,12 +76,14 @@
 	return nil
 }
 
-// startStream runs the submitted request in a goroutine of its own. The error
-// is FrameInvalid if the frame can't be decoded or the stream ID is in use.
+// startStream runs the submitted request in a goroutine of its own. A request that can't be
+// decoded ends at once, and the others of the session go on. The error is FrameInvalid if the
+// stream ID is in use.
 func (l *liveSession) startStream(ctx context.Context, frame bhwire.Frame) error {
 	submit, err := bhwire.Decode[bhwire.Submit](frame)
 	if err != nil {
-		return err
+		bhlog.Problem(l.sidecar.logger, "request.undecodable", err, "entry", l.link.Peer.Host, "stream", frame.Stream)
+		return l.link.SendMessage(ctx, bhwire.KindEnd, frame.Stream, endFromError(err))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/bhwire/codec.go
+++ b/bhwire/codec.go
@@ -131,6 +131,8 @@
 
 func mustDecoder() cbor.DecMode {
 	mode, err := cbor.DecOptions{
+		// Paths and header values may hold any bytes.
+		UTF8:             cbor.UTF8DecodeInvalid,
 		MaxNestedLevels:  MaxNesting,
 		MaxArrayElements: MaxElements,
 		MaxMapPairs:      MaxElements,
--- a/bhwire/codec_test.go
+++ b/bhwire/codec_test.go
@@ -4,6 +4,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"net/http"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -89,3 +90,18 @@
 		require.NoError(b, err)
 	}
 }
+
+// Guards against a message that its receiver refuses, or gets in another form, because a text in
+// it isn't UTF-8: header values may hold any bytes above 0x7f.
+func TestMessagesKeepAnyText(t *testing.T) {
+	text := rapid.Map(rapid.SliceOf(rapid.Byte()), func(b []byte) string { return string(b) })
+	rapid.Check(t, func(t *rapid.T) {
+		sent := Submit{ID: text.Draw(t, "ID"), Path: text.Draw(t, "path"), Query: text.Draw(t, "query"), Header: http.Header{"X-Note": {text.Draw(t, "value")}}}
+		frame, err := Encode(KindSubmit, 1, sent)
+		require.NoError(t, err)
+		got, err := Decode[Submit](frame)
+		require.NoError(t, err)
+		require.Equal(t, sent.ID+sent.Path+sent.Query, got.ID+got.Path+got.Query)
+		require.Equal(t, sent.Header, got.Header)
+	})
+}
