JSON from outside is refused where decoding would change it

Cause: encoding/json replaces bytes and unpaired surrogates, and drops one of two members of a name, without an error. Change: what comes in is validated by bhjson first; a chunk that isn't UTF-8 is a broken answer, which another engine continues. Items of input files that are stored already run as before.

--- a/bhbatch/handler_test.go
+++ b/bhbatch/handler_test.go
@@ -119,6 +119,13 @@
 	assert.Equal(t, 2, reply.Total)
 	assert.Equal(t, 2, reply.Lines[0].Line)
 	assert.Equal(t, 3, reply.Lines[1].Line)
+	for _, line := range []string{"caf\xe9", `a\ud83d`, `a", "custom_id": "b`} {
+		bad := strings.Replace(itemLine(1), `"custom_id":"`, `"custom_id":"`+line, 1)
+		require.NotEqual(t, itemLine(1), bad)
+		assert.Equal(t, 400, api.upload(testAccount, bad, &reply), "%q would be stored as another one", bad)
+		assert.Equal(t, 1, reply.Total)
+	}
+	assert.Equal(t, 400, api.call(testAccount, http.MethodPost, PathBatches, nil, "{\"input_file_id\":\"file-x\",\"metadata\":{\"a\":\"\xe9\"}}", nil))
 	assert.Equal(t, 400, api.call(testAccount, http.MethodPost, PathFiles, nil, "x", nil))
 	assert.Equal(t, 400, api.call(testAccount, http.MethodPost, PathBatches, nil, "x", nil))
 	assert.Equal(t, 404, api.call(testAccount, http.MethodPost, PathBatches, nil, `{"input_file_id":"file-x"}`, nil))
--- a/bhbatch/reply.go
+++ b/bhbatch/reply.go
@@ -8,6 +8,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhjson"
 )
 
 const defaultListLimit = 20
@@ -96,6 +97,9 @@
 	if err != nil {
 		return CreateRequest{}, bhcode.Wrap(err, bhcode.BadRequest, "reading the body")
 	}
+	if err := bhjson.Validate(data); err != nil {
+		return CreateRequest{}, bhcode.Wrap(err, bhcode.BadRequest, "the body is not a request for a batch")
+	}
 	if err := json.Unmarshal(data, &body); err != nil {
 		return CreateRequest{}, bhcode.New(bhcode.BadRequest, "the body is not a request for a batch")
 	}
--- a/bhbatch/upload.go
+++ b/bhbatch/upload.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhjson"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 )
 
@@ -147,6 +148,9 @@
 	if len(u.customIDs) >= MaxItems {
 		return "more than 430000 items"
 	}
+	if err := bhjson.Validate(line); err != nil {
+		return "not a JSON object of a request: " + err.Error()
+	}
 	item, reason := ParseItem(line)
 	if reason != "" {
 		return reason
--- a/bhchat/chat_test.go
+++ b/bhchat/chat_test.go
@@ -118,9 +118,10 @@
 	assert.JSONEq(t, `{"id":"b","created":7,"choices":[{"delta":{"tool_calls":[1]}}],"x":{"y":2}}`, string(renamed))
 }
 
-// Guards against a chat that ran, and whose caller is told that it did not.
+// Guards against a chat that ran, and whose caller is told that it did not, or gets a text of
+// which bytes were replaced.
 func TestDecoderTellsThatTheEngineRan(t *testing.T) {
-	for _, text := range []string{"data: {\n", "data: " + strings.Repeat("x", maxLineBytes)} {
+	for _, text := range []string{"data: {\n", "data: {\"choices\":[{\"delta\":{\"content\":\"\xff\"}}]}\n", "data: " + strings.Repeat("x", maxLineBytes)} {
 		var decoder Decoder
 		_, err := decoder.Feed([]byte(text))
 		require.Error(t, err)
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"unicode/utf8"
 
 	"github.com/goccy/go-json"
 
@@ -29,7 +30,7 @@
 }
 
 // Feed appends the next bytes of the stream and returns the chunks that they
-// complete. If an event is malformed or no chunk, such as an error, or a line without an
+// complete. If an event is malformed, not UTF-8 or no chunk, such as an error, or a line without an
 // end exceeds 1 MiB, it returns the chunks before the fault and an error with the code
 // bhcode.UpstreamFailed.
 func (d *Decoder) Feed(data []byte) ([]Chunk, error) {
@@ -72,6 +73,9 @@
 		return Chunk{}, false, nil
 	}
 	var chunk Chunk
+	if !utf8.Valid(data) {
+		return Chunk{}, false, bhcode.New(bhcode.UpstreamFailed, "an event that is not UTF-8").WithRan(bhcode.RanYes)
+	}
 	if err := json.Unmarshal(data, &chunk); err != nil {
 		return Chunk{}, false, bhcode.Wrap(err, bhcode.UpstreamFailed, "malformed event").WithRan(bhcode.RanYes)
 	}
