Upstreams: an answer whose connection was reset is never whole

Callers got a part of an answer as the whole: an upstream answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while it was still being sent the request.

Cause: the kernel reports a reset to one call alone. The write of the upload took it, and the next read saw an orderly end, which is the end of such a body.

Change: connections to upstreams remember a failed write; the end of the connection is then an error, also if the write that has the reset hasn't returned yet. The same holds for net/http's connections of sidecars. The batch client refuses a file whose end only the connection marks.

--- a/bhbatch/client.go
+++ b/bhbatch/client.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 )
 
 // ClientConfig configures a Client.
@@ -130,6 +131,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if bhforward.FramingOf(response) == bhforward.FramedByClose {
+		_ = response.Body.Close()
+		return nil, errors.Errorf("the answer for file %s has neither a length nor chunks, so that its end can't be told from a cut", id)
+	}
 	return response.Body, nil
 }
 
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -168,8 +168,7 @@
 	writeErr := make(chan error, 1)
 	head := encodeHead(request)
 	send := func() {
-		data := net.Buffers{head, request.Body}
-		_, err := data.WriteTo(c.Conn)
+		_, err := c.writeAll(&net.Buffers{head, request.Body})
 		writeErr <- err
 	}
 	if len(head)+len(request.Body) <= maxInlineWrite {
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -48,7 +48,7 @@
 // conn is one connection to an upstream. It isn't reused after idleTimeout, which
 // is maxIdleTimeout or follows from the value that the upstream declared.
 type conn struct {
-	net.Conn
+	*resetConn
 	reader *bufio.Reader
 	// headBytes is how many bytes may still be read for the present head; negative
 	// while no head is read.
@@ -75,7 +75,7 @@
 
 // newConn returns a connection that reads through a buffer.
 func newConn(netConn net.Conn) *conn {
-	c := &conn{Conn: netConn, headBytes: -1, idleTimeout: maxIdleTimeout}
+	c := &conn{resetConn: &resetConn{Conn: netConn}, headBytes: -1, idleTimeout: maxIdleTimeout}
 	c.reader = bufio.NewReaderSize(c, readBufferSize)
 	return c
 }
@@ -88,7 +88,7 @@
 	if c.headBytes > 0 {
 		buffer = buffer[:min(len(buffer), c.headBytes)]
 	}
-	n, err := c.Conn.Read(buffer)
+	n, err := c.resetConn.Read(buffer)
 	if c.headBytes > 0 {
 		c.headBytes -= n
 	}
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -21,6 +21,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -66,7 +67,7 @@
 }
 
 func newUpstream(config bhconf.Upstream, weight func(account string) float64) *upstream {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+	dial := bhforward.DialDetectingResets(&net.Dialer{Timeout: dialTimeout})
 	return &upstream{
 		config:       config,
 		admission:    newAdmission(config.Slots, weight),
@@ -75,7 +76,7 @@
 		batchLimiter: newBatchLimiter(max(config.Slots, 1), 0),
 		limits:       bhcap.NewLedger(bhcap.Config{LeastRate: bhcap.ProbeRate}),
 		keepAlive: &http.Transport{
-			DialContext:         dialer.DialContext,
+			DialContext:         dial,
 			MaxIdleConnsPerHost: maxIdleConnsPerHost,
 			IdleConnTimeout:     idleTimeout,
 			DisableCompression:  true,
@@ -83,7 +84,7 @@
 			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		oneShot: &http.Transport{
-			DialContext:        dialer.DialContext,
+			DialContext:        dial,
 			DisableKeepAlives:  true,
 			DisableCompression: true,
 
