Upstreams: an answer needs a status from 200 to 599

Callers got an answer with status 000, or whatever followed such a head; an item was completed with it.

Cause: http.ReadResponse takes 000 and +20 as numbers, and whatever is below 200 counted as an interim answer, a switch of protocols included. 600 and 999 were passed on.

Change: final answers have 200 to 599, interim ones 100 to 199 without 101; what else comes is an answer that broke off. Gateways no longer quote bytes of a malformed head to their clients, as they may be another client's.

--- a/bhcode/error.go
+++ b/bhcode/error.go
@@ -66,6 +66,17 @@
 	return fmt.Sprintf("%s (%d): %s", e.Code, int(e.Code), message)
 }
 
+// CallerText returns the code's name and number and the message, and for faults of the caller's
+// also the cause. Other causes are for operators: they may quote bytes of an upstream.
+func (e *Error) CallerText() string {
+	if e.Code < NoUpstream || e.Code == BatchInvalid {
+		return e.Error()
+	}
+	withoutCause := *e
+	withoutCause.cause = nil
+	return withoutCause.Error()
+}
+
 // Unwrap returns the cause, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
--- a/bhentry/dispatch.go
+++ b/bhentry/dispatch.go
@@ -9,6 +9,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcache"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhcrash"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhroute"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -195,6 +196,9 @@
 		if err != nil {
 			return err
 		}
+		if err := bhforward.CheckFinalStatus(head.Status); err != nil {
+			return bhcode.Wrap(err, bhcode.UpstreamFailed, "head of an answer").WithRan(bhcode.RanUnknown)
+		}
 		return sink.writeHead(head)
 	case bhwire.KindData:
 		return sink.writeData(frame.Body)
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -29,6 +29,8 @@
 	// maxSkipped bounds the answers to earlier requests that are skipped on a reused
 	// connection. Together with the head they have maxHeadBytes at most.
 	maxSkipped = 2
+	// maxStatus is the highest status of an answer.
+	maxStatus = 599
 	// forgottenWithin is several round trips within a region. A connection that breaks
 	// later broke while the request ran.
 	forgottenWithin = 30 * time.Millisecond
@@ -257,17 +259,32 @@
 	return errors.Wrap(err, "skipping an answer to an earlier request")
 }
 
-// readFinalHead reads response heads and skips interim (1xx) ones.
+// readFinalHead reads response heads and skips interim (1xx) ones. A switch of protocols (101) is
+// an error, as no request asks for it.
 func readFinalHead(reader *bufio.Reader, method string) (*http.Response, error) {
 	for {
 		response, err := http.ReadResponse(reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the answer")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		isInterim := response.StatusCode >= http.StatusContinue && response.StatusCode < http.StatusOK
+		if isInterim && response.StatusCode != http.StatusSwitchingProtocols {
+			continue
+		}
+		if err := CheckFinalStatus(response.StatusCode); err != nil {
+			return nil, errors.Wrap(err, "reading the answer")
 		}
+		return response, nil
+	}
+}
+
+// CheckFinalStatus returns an error unless the status is that of a final answer (RFC 9110, section
+// 15).
+func CheckFinalStatus(status int) error {
+	if status < http.StatusOK || status > maxStatus {
+		return errors.Errorf("status %d, expected %d to %d", status, http.StatusOK, maxStatus)
 	}
+	return nil
 }
 
 // encodeHead returns the request without its body in HTTP/1.1 wire format.
--- a/bhgate/call.go
+++ b/bhgate/call.go
@@ -371,7 +371,7 @@
 	c.closeIfUnready(header)
 	c.status = status
 	c.w.WriteHeader(status)
-	_, writeErr := io.WriteString(c.w, failure.Error()+"\n")
+	_, writeErr := io.WriteString(c.w, failure.CallerText()+"\n")
 	if writeErr != nil {
 		c.log("request.unsent", writeErr)
 	}
--- a/bhload/client.go
+++ b/bhload/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
+	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
@@ -37,6 +38,7 @@
 		timeout = DefaultTimeout
 	}
 	transport := &http.Transport{
+		DialContext:         bhforward.DialDetectingResets(&net.Dialer{}),
 		MaxIdleConns:        idleConnections,
 		MaxIdleConnsPerHost: idleConnections,
 		DisableCompression:  true,
@@ -58,7 +60,10 @@
 	}
 	defer response.Body.Close()
 	var outcome Outcome
+	statusErr := bhforward.CheckFinalStatus(response.StatusCode)
 	switch {
+	case statusErr != nil:
+		outcome = Outcome{Verdict: Wrong, Message: statusErr.Error()}
 	case response.StatusCode != http.StatusOK:
 		outcome = readRefusal(response.Body)
 	case r.Kind.Class == ClassStream:
--- a/bhload/load_test.go
+++ b/bhload/load_test.go
@@ -137,6 +137,14 @@
 			w.WriteHeader(http.StatusTooManyRequests)
 			write(w, `{"error":{"code":1006,"message":"over the rate","ran":"no"}}`)
 		}, Refused, 1006},
+		"no status": {func(w http.ResponseWriter, _ []string) {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err != nil {
+				panic(err)
+			}
+			defer conn.Close()
+			write(conn, "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n")
+		}, Wrong, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			outcome := answer(t, stream, test.spoil)
--- a/bhload/outcome.go
+++ b/bhload/outcome.go
@@ -16,7 +16,7 @@
 const (
 	// Good is a whole answer that belongs to its request.
 	Good Verdict = "good"
-	// Wrong is a whole answer that doesn't belong to its request.
+	// Wrong is a whole answer that doesn't belong to its request, or has no valid status.
 	Wrong Verdict = "wrong"
 	// Short is an answer that ended early as if it were whole.
 	Short Verdict = "short"
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -109,8 +109,11 @@
 	sentAt := time.Now()
 	response, err := u.transportFor(submit).RoundTrip(request)
 	if err == nil {
-		u.observeLimit(response, sentAt)
-		return response, nil
+		if err = bhforward.CheckFinalStatus(response.StatusCode); err == nil {
+			u.observeLimit(response, sentAt)
+			return response, nil
+		}
+		_ = response.Body.Close()
 	}
 	if !connected.Load() {
 		return nil, bhcode.Wrap(err, bhcode.NoUpstream, "no connection to the upstream")
