--- a/bhjob/validate.go
+++ b/bhjob/validate.go
@@ -18,6 +18,11 @@
 	// maxItemNameBytes bounds the name of an item's record, so that those of its checkpoints and
 	// results fit, too.
 	maxItemNameBytes = bhplatform.MaxNameBytes - maxHolderBytes
+	// maxItemBytes bounds an item, so that its record fits into an object. itemOverhead and
+	// fieldOverhead are more than the encoding adds to an item and to a field of its header.
+	maxItemBytes  = bhplatform.MaxObjectBytes - itemOverhead
+	itemOverhead  = 1 << 10
+	fieldOverhead = 16
 	// maxQuoted is the number of bytes of an invalid value that an error quotes.
 	maxQuoted = 64
 )
@@ -57,6 +62,13 @@
 
 // validate returns an error if the item can't be sent as an HTTP request with its values.
 func (i *Item) validate() error {
+	size := len(i.ID) + len(i.Target) + len(i.Body)
+	for name, value := range i.Header {
+		size += len(name) + len(value) + fieldOverhead
+	}
+	if size > maxItemBytes {
+		return errors.Errorf("it has %d bytes, expected at most %d", size, maxItemBytes)
+	}
 	if err := validateText(i.ID); err != nil {
 		return errors.WithMessage(err, "id")
 	}
--- a/bhjob/validate_test.go
+++ b/bhjob/validate_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
@@ -99,6 +100,24 @@
 	assert.Len(t, r.engine.requestHeaders(), 1)
 }
 
+// TestItemThatNoObjectHoldsIsRefused guards against a job that the store refuses at each attempt.
+func TestItemThatNoObjectHoldsIsRefused(t *testing.T) {
+	for size, accepted := range map[int]bool{bhplatform.MaxObjectBytes: false, bhplatform.MaxObjectBytes - 4096: true} {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		submission := sampleJob("j", 2)
+		submission.Items[1].Body = make([]byte, size)
+		err := newTestJobStore(store).Submit(t.Context(), submission)
+		if accepted {
+			require.NoError(t, err)
+			continue
+		}
+		require.Error(t, err)
+		assert.True(t, bhcode.Is(err, bhcode.BatchInvalid), err)
+		assert.Contains(t, err.Error(), "item 1")
+		assert.Empty(t, store.Records(itemTable), "nothing of the job is stored")
+	}
+}
+
 // TestItemsWithUnusualValuesAreAccepted guards against jobs that are refused although their items
 // can run.
 func TestItemsWithUnusualValuesAreAccepted(t *testing.T) {
--- a/bhplatform/platform.go
+++ b/bhplatform/platform.go
@@ -57,6 +57,9 @@
 	Commit(ctx context.Context, writes ...Write) ([]Version, error)
 }
 
+// MaxObjectBytes is the size in bytes of the largest object that stores take.
+const MaxObjectBytes = 8 << 20
+
 // Objects is the object store. Errors carry the same codes as those of Table.
 type Objects interface {
 	// Put stores the bytes of body as the object name, replacing any existing
--- a/bhstand/store.go
+++ b/bhstand/store.go
@@ -241,6 +241,9 @@
 	if err != nil {
 		return err
 	}
+	if len(data) > bhplatform.MaxObjectBytes {
+		return bhcode.New(bhcode.PlatformUnavailable, "an object has %d bytes of at most %d", len(data), bhplatform.MaxObjectBytes)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.objects[name] = data
