Upstreams: answers without an end share a bounded memory

A gateway on a machine of 112 MiB held up to 208 MB while upstreams answered 200 requests with sound events without an end, 148 MB for bytes that never became an event; a runner with four slots 85 MB. Such a process ends, and the requests of all its clients with it.

Cause: each answer had a bound, and their sum none. What a gateway read ahead was checked against its budget and not taken from it; heads, events, items' outputs and chats counted nowhere; the kernel held some megabytes of each answer that wasn't read.

Change: each answer has some memory of its own, and takes what it needs beyond from a pool, by the machine's memory, before it grows. Without it the answer is passed on from there, or broke off. The kernel holds 32 KiB of what isn't read of a connection to an upstream. The batch client bounds the replies that it reads.

--- a/bhbatch/client.go
+++ b/bhbatch/client.go
@@ -18,6 +18,9 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 )
 
+// maxReplyBytes bounds what is read of a reply other than a file.
+const maxReplyBytes = 16 << 20
+
 // ClientConfig configures a Client.
 type ClientConfig struct {
 	// URL is the base URL of an entry.
@@ -161,7 +164,7 @@
 		return err
 	}
 	defer response.Body.Close()
-	return errors.Wrap(json.NewDecoder(response.Body).Decode(reply), "answer")
+	return errors.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(reply), "answer")
 }
 
 // do returns the response if its status is 200, and otherwise the error that
@@ -179,7 +182,7 @@
 	}
 	defer response.Body.Close()
 	var reply InvalidReply
-	if err := json.NewDecoder(response.Body).Decode(&reply); err != nil {
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxReplyBytes)).Decode(&reply); err != nil {
 		return nil, errors.Errorf("the entry answered with status %d and no JSON error", response.StatusCode)
 	}
 	if reply.Total > 0 {
--- a/bhbatch/client_test.go
+++ b/bhbatch/client_test.go
@@ -1,10 +1,13 @@
 package bhbatch
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -26,6 +29,24 @@
 	return client
 }
 
+// Guards against a reply without an end that fills the memory of the command.
+func TestEndlessReplyIsRefused(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, err := io.WriteString(w, `{"id":"`)
+		for block := strings.Repeat("more ", 10_000); err == nil; {
+			_, err = io.WriteString(w, block)
+		}
+	}))
+	defer server.Close()
+	client := NewClient(ClientConfig{URL: server.URL})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	_, err := client.Get(ctx, "b")
+	require.Error(t, err)
+	require.NoError(t, ctx.Err(), "refused before the end")
+}
+
 // Guards against a part of a file that is written out as the whole.
 func TestContentOfUnknownLengthIsRefused(t *testing.T) {
 	_, err := newRawServer(t, "HTTP/1.1 200 OK\r\n\r\npart").Content(t.Context(), "f")
--- a/bhchat/stream.go
+++ b/bhchat/stream.go
@@ -56,6 +56,9 @@
 	return chunks, nil
 }
 
+// Pending returns how many bytes of a line without an end the decoder holds.
+func (d *Decoder) Pending() int { return len(d.pending) }
+
 // Done reports whether the end marker of the stream was received.
 func (d *Decoder) Done() bool { return d.done }
 
--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -153,6 +153,8 @@
 	// limits bound what callers can make the process hold, at its ports.
 	limits bhguard.Limits
 	ports  *bhserve.Ports
+	// answers is the memory for what upstreams have begun to answer.
+	answers *bhspool.Pool
 }
 
 func runHosted(ctx context.Context, factory *Factory, role hostedRole, options HostOptions) error {
@@ -200,6 +202,7 @@
 
 func newHost(file *bhhost.File, interval time.Duration, metrics *bhmetric.Metrics, logger bhlog.Logger) *hosted {
 	limits := callerLimits(file.Current())
+	answers := bhspool.NewPool(limits.Answers)
 	store := platform.NewStore(platform.StoreConfig{Address: func() string { return file.Current().Platform }, Scope: metrics.Scope})
 	clock := bhclock.Boot{}
 	return &hosted{
@@ -210,7 +213,8 @@
 		metrics: metrics,
 		logger:  logger,
 		clock:   clock,
-		pool:    bhforward.NewPool(),
+		answers: answers,
+		pool:    bhforward.NewPoolOf(bhforward.PoolConfig{Answers: answers}),
 		holder:  bhhost.NewHolder(file.Current().Host),
 		watcher: bhwatch.New(bhwatch.Config{
 			Source: &platform.Source{
@@ -310,6 +314,7 @@
 		Limits:      limits,
 		Admission:   h.admission,
 		Budget:      clientBudget(settings, h.limits),
+		Answers:     h.answers,
 		EngineLoads: &bhgate.PeerEngineLoads{Socket: socket, Logger: h.logger},
 		Pool:        h.pool,
 		Clock:       h.clock,
@@ -390,6 +395,10 @@
 	return bhcrash.Listed{Upstream: upstream, Ready: !instance.Draining}, ok
 }
 
+// outputShare is the part of the memory for bodies, as its inverse, that a runner has for large
+// outputs of items, which take as much again three times when they are recorded.
+const outputShare = 4
+
 func (h *hosted) ledger() *bhjob.JobStore {
 	return bhjob.NewJobStore(bhjob.JobStoreConfig{Store: h.store, Objects: h.store, Logger: h.logger})
 }
@@ -416,6 +425,7 @@
 		Pool:       h.pool,
 		Crashes:    h.crashes,
 		Limits:     limits,
+		Outputs:    bhspool.NewPool(h.limits.Bodies / outputShare),
 		Dialect:    platform.Dialect(),
 		Clock:      h.clock,
 		Logger:     h.logger,
--- a/bhentry/chat.go
+++ b/bhentry/chat.go
@@ -56,7 +56,9 @@
 		Work:       request.Work(),
 		Prefix:     bhchat.Prefix(request.Prompt()),
 	}
-	sink, err := newChatSink(c, request)
+	memory := e.answers.Open(ownAnswerBytes)
+	defer memory.Close()
+	sink, err := newChatSink(c, request, memory)
 	if err != nil {
 		return err
 	}
--- a/bhentry/chatsink.go
+++ b/bhentry/chatsink.go
@@ -8,19 +8,20 @@
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
-// newChatSink returns the sink for the response to a chat request.
-func newChatSink(c echo.Context, request bhchat.Request) (responseSink, error) {
+// newChatSink returns the sink for the response to a chat request, which takes memory as it needs it.
+func newChatSink(c echo.Context, request bhchat.Request, memory *bhspool.Share) (responseSink, error) {
 	if request.Streamed() {
-		return &chatSink{c: c, request: request}, nil
+		return &chatSink{c: c, request: request, memory: memory}, nil
 	}
 	body, err := request.EngineBody(bhchat.Resume{})
 	if err != nil {
 		return nil, err
 	}
-	return &bufferedChatSink{bufferedSink: bufferedSink{body: body}, c: c}, nil
+	return &bufferedChatSink{bufferedSink: bufferedSink{body: body, memory: memory}, c: c}, nil
 }
 
 // engineError returns UpstreamFailed unless the status is that of an answer, 200, or of a
@@ -54,6 +55,7 @@
 type chatSink struct {
 	c         echo.Context
 	request   bhchat.Request
+	memory    *bhspool.Share
 	status    int
 	decoder   bhchat.Decoder
 	collector bhchat.Collector
@@ -86,7 +88,7 @@
 func (s *chatSink) writeData(data []byte) error {
 	if s.status != http.StatusOK {
 		s.refusalBody = append(s.refusalBody, data...)
-		return checkSize(len(s.refusalBody))
+		return holdAnswer(s.memory, len(s.refusalBody))
 	}
 	chunks, err := s.decoder.Feed(data)
 	if err != nil {
@@ -97,7 +99,7 @@
 			return err
 		}
 	}
-	return checkSize(s.collector.Size())
+	return holdAnswer(s.memory, s.collector.Size()+s.decoder.Pending())
 }
 
 func (s *chatSink) writeChunk(chunk bhchat.Chunk) error {
--- a/bhentry/chatsink_test.go
+++ b/bhentry/chatsink_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -44,6 +45,41 @@
 	}
 }
 
+// Guards against engines whose answers, each within the limit of one, fill the memory of the entry
+// together.
+func TestChatsShareTheMemoryForAnswers(t *testing.T) {
+	const shared, chats = 1 << 20, 20
+	request, err := bhchat.Parse([]byte(`{"model":"m","messages":[{"role":"user","content":"week"}]}`))
+	require.NoError(t, err)
+	for name, data := range map[string]string{
+		"chunks": `data: {"id":"c","choices":[{"delta":{"content":"` + strings.Repeat("more ", 2000) + `"}}]}` + "\n\n",
+		"a line": "data: " + strings.Repeat("more ", 2000),
+	} {
+		t.Run(name, func(t *testing.T) {
+			pool := bhspool.NewPool(shared)
+			held := 0
+			for range chats {
+				memory := pool.Open(ownAnswerBytes)
+				defer memory.Close()
+				sink, err := newChatSink(echo.New().NewContext(httptest.NewRequest(http.MethodPost, bhchat.Path, strings.NewReader("")), httptest.NewRecorder()), request, memory)
+				require.NoError(t, err)
+				_, err = sink.beginAttempt()
+				require.NoError(t, err)
+				require.NoError(t, sink.writeHead(bhwire.Head{Status: http.StatusOK}))
+				for range 30 {
+					if err = sink.writeData([]byte(data)); err != nil {
+						assert.True(t, bhcode.Is(err, bhcode.AnswerIncomplete), err)
+						break
+					}
+					held += len(data)
+				}
+			}
+			// Besides the text there are the names of its fields.
+			assert.LessOrEqual(t, held, (shared+chats*ownAnswerBytes)*11/10)
+		})
+	}
+}
+
 // Guards against an engine whose answer never ends and that fills the memory of the
 // entry.
 func TestChatOfEndlessBytesIsRefused(t *testing.T) {
--- a/bhentry/entry.go
+++ b/bhentry/entry.go
@@ -72,6 +72,8 @@
 	callers         *bhserve.CallerListener
 	// bodies is what is held for the bodies of callers' requests.
 	bodies *bhspool.Budget
+	// answers is the memory for answers that are kept until they are whole.
+	answers *bhspool.Pool
 }
 
 // New returns an entry. It serves nothing until Run is called.
@@ -79,6 +81,7 @@
 	logger := bhlog.With(config.Logger, "role", "entry", "host", config.Settings.Host)
 	e := &Entry{readiness: readiness{startedAt: time.Now()}, config: config, logger: logger, metrics: newRequestMetrics(config.Metrics.Scope), departure: bhdrain.NewDeparture(config.Settings.DrainTimeout())}
 	e.bodies = newBodies(config.Limits)
+	e.answers = newAnswers(config.Limits)
 	e.mesh = bhmesh.New(bhmesh.Config{Link: e.linkConfig(), Logger: logger})
 	e.configStore = bhsync.NewStore(bhsync.StoreConfig{Logger: logger})
 	e.runningRequests = bhsync.NewRunningRequests(e.configStore)
@@ -121,6 +124,14 @@
 	return bhspool.New(bhspool.Config{Total: max(maxBodyBytes, total)})
 }
 
+// newAnswers returns the memory for answers that are kept until they are whole; nil without a limit.
+func newAnswers(limits bhguard.Limits) *bhspool.Pool {
+	if limits.Answers <= 0 {
+		return nil
+	}
+	return bhspool.NewPool(limits.Answers)
+}
+
 // Run serves until ctx is done, then stops gracefully: it stops accepting
 // connections, waits for the requests in flight, answers those that can't end
 // within the drain timeout, and closes its sessions. It returns an error if it can't listen on an address of
--- a/bhentry/idempotency.go
+++ b/bhentry/idempotency.go
@@ -13,6 +13,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhonce"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -20,6 +21,8 @@
 	headerIdempotency = "Idempotency-Key"
 	// maxBufferedBytes is the largest response body that is kept in memory.
 	maxBufferedBytes = 4 << 20
+	// ownAnswerBytes is what each answer may take of memory until it is whole, whatever others take.
+	ownAnswerBytes = 64 << 10
 )
 
 // dispatchOnce runs a non-idempotent request with an idempotency key at most
@@ -48,7 +51,9 @@
 // claim: it stores the response, releases the key if the request certainly did
 // not run, or else records an unknown outcome.
 func (e *Entry) dispatchClaimed(ctx context.Context, c echo.Context, claim *bhonce.Claim, submit bhwire.Submit, body []byte) error {
-	sink := &bufferedSink{body: body}
+	memory := e.answers.Open(ownAnswerBytes)
+	defer memory.Close()
+	sink := &bufferedSink{body: body, memory: memory}
 	err := e.dispatch(ctx, submit, bhcrash.Traits{}, sink)
 	settleCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Until(settleDeadline(ctx)))
 	defer cancel()
@@ -101,7 +106,9 @@
 // the response is complete, so that each attempt can start over.
 type bufferedSink struct {
 	// body is the request body.
-	body   []byte
+	body []byte
+	// memory is what the response may take.
+	memory *bhspool.Share
 	status int
 	header http.Header
 	buffer bytes.Buffer
@@ -125,19 +132,23 @@
 }
 
 func (s *bufferedSink) writeData(data []byte) error {
-	if err := checkSize(s.buffer.Len() + len(data)); err != nil {
+	if err := holdAnswer(s.memory, s.buffer.Len()+len(data)); err != nil {
 		return err
 	}
 	s.buffer.Write(data)
 	return nil
 }
 
-// checkSize returns TooLarge if an answer of that many bytes isn't kept in memory.
-func checkSize(bytes int) error {
-	if bytes <= maxBufferedBytes {
-		return nil
+// holdAnswer takes memory for an answer of that many bytes. It returns TooLarge if no answer may have
+// as many, and AnswerIncomplete if there is no memory for them.
+func holdAnswer(memory *bhspool.Share, bytes int) error {
+	if bytes > maxBufferedBytes {
+		return bhcode.New(bhcode.TooLarge, "the answer is over %d bytes", maxBufferedBytes).WithRan(bhcode.RanYes)
 	}
-	return bhcode.New(bhcode.TooLarge, "the answer is over %d bytes", maxBufferedBytes).WithRan(bhcode.RanYes)
+	if !memory.Resize(int64(bytes)) {
+		return bhcode.New(bhcode.AnswerIncomplete, "the entry has no memory for an answer of %d bytes", bytes).WithRan(bhcode.RanYes)
+	}
+	return nil
 }
 
 func (s *bufferedSink) flush() {}
--- a/bhevent/reader.go
+++ b/bhevent/reader.go
@@ -10,6 +10,8 @@
 const (
 	// readBufferSize is the number of bytes that one read returns at most.
 	readBufferSize = 8 << 10
+	// usualBufferSize is the largest buffer that is kept from one event to the next.
+	usualBufferSize = 2 * readBufferSize
 	// maxEventBytes bounds an event. Events hold some tokens; bytes that never become
 	// an event would fill the memory.
 	maxEventBytes = 256 << 10
@@ -25,6 +27,10 @@
 	// EndsWithConnection says that io.EOF means no more than that the connection was
 	// closed. The stream must then have at least one event.
 	EndsWithConnection bool
+	// Resize asks for memory of the bytes for an event that has begun, in place of what it asked
+	// for before, or returns what exceeds them. The stream fails if it reports false. Nil allows
+	// any.
+	Resize func(bytes int64) bool
 	// Text says that the IDs and the data of events must be UTF-8, as they are kept as text. An
 	// event of which they aren't is no event.
 	Text bool
@@ -59,8 +65,11 @@
 // before bytes that are no event, if an event is too large, or if a resumed stream doesn't
 // continue after the last event (see Progress). Any error ends the stream.
 func (r *Reader) Next() ([]byte, error) {
-	r.pending = append(r.pending[:0], r.pending[r.returned:]...)
+	r.dropReturned()
 	n, err := r.config.Source.Read(r.buffer)
+	if !r.grow(n) {
+		return nil, errors.Errorf("no memory for an event of more than %d bytes", len(r.pending))
+	}
 	r.pending = append(r.pending, r.buffer[:n]...)
 	r.returned = CompleteLength(r.pending)
 	sound, soundErr := soundLength(r.pending[:r.returned], r.config.Text)
@@ -83,6 +92,34 @@
 	return events, err
 }
 
+// dropReturned removes the events that the last Next returned, and gives up a large buffer that is
+// no longer needed.
+func (r *Reader) dropReturned() {
+	rest := r.pending[r.returned:]
+	r.returned = 0
+	if cap(r.pending) <= usualBufferSize || len(rest) > readBufferSize {
+		r.pending = append(r.pending[:0], rest...)
+		return
+	}
+	r.pending = append(make([]byte, 0, usualBufferSize), rest...)
+	if r.config.Resize != nil {
+		r.config.Resize(usualBufferSize)
+	}
+}
+
+// grow makes room for more bytes. It reports false if there is no memory for them.
+func (r *Reader) grow(bytes int) bool {
+	if len(r.pending)+bytes <= cap(r.pending) {
+		return true
+	}
+	size := max(2*cap(r.pending), len(r.pending)+bytes, readBufferSize)
+	if r.config.Resize != nil && !r.config.Resize(int64(size)) {
+		return false
+	}
+	r.pending = append(make([]byte, 0, size), r.pending...)
+	return true
+}
+
 // checkEnd returns io.EOF if the stream may end here, otherwise an error that wraps
 // io.ErrUnexpectedEOF.
 func (r *Reader) checkEnd() error {
--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -1,7 +1,6 @@
 package bhforward
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"io"
@@ -18,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
+	"github.com/baobabhaven/baobabhaven/bhguard"
 )
 
 // maxInlineWrite is the largest encoded request, in bytes, that is written before
@@ -154,6 +154,7 @@
 	if err != nil {
 		stop()
 		_ = c.Close()
+		c.head.Close()
 		var forgotten *ForgottenError
 		if errors.As(err, &forgotten) {
 			p.forgotten(rested)
@@ -205,13 +206,13 @@
 // before. It returns how many answers to earlier requests it skipped.
 func readAnswer(c *conn, request *Request, rested time.Duration) (*http.Response, int, error) {
 	startedAt := time.Now()
-	c.headBytes = maxHeadBytes
+	c.headBytes, c.headCost = maxHeadBytes, 0
 	defer func() { c.headBytes = -1 }()
-	response, err := readFinalHead(c.reader, request.Method)
+	response, err := readFinalHead(c, request.Method)
 	skipped := 0
 	for ; rested > 0 && err == nil && skipped < maxSkipped && !request.answeredBy(response) && !response.Close; skipped++ {
 		if err = skipBody(response); err == nil {
-			response, err = readFinalHead(c.reader, request.Method)
+			response, err = readFinalHead(c, request.Method)
 		}
 	}
 	if err == nil {
@@ -228,6 +229,7 @@
 // doesn't close the connection and the context isn't done. Otherwise Close closes
 // the connection.
 func (a *Answer) Close() error {
+	a.conn.head.Close()
 	if a.stop() && a.reusable && a.bodyComplete && a.conn.reader.Buffered() == 0 {
 		a.pool.put(a.address, a.conn)
 		return nil
@@ -261,9 +263,10 @@
 
 // readFinalHead reads response heads and skips interim (1xx) ones. A switch of protocols (101) is
 // an error, as no request asks for it.
-func readFinalHead(reader *bufio.Reader, method string) (*http.Response, error) {
+func readFinalHead(c *conn, method string) (*http.Response, error) {
 	for {
-		response, err := http.ReadResponse(reader, &http.Request{Method: method})
+		c.meter = bhguard.Meter{}
+		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
 		if err != nil {
 			return nil, errors.Wrap(err, "reading the answer")
 		}
--- a/bhforward/pool.go
+++ b/bhforward/pool.go
@@ -15,6 +15,8 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/baobabhaven/baobabhaven/bhguard"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 )
 
@@ -43,6 +45,11 @@
 	// maxHeadBytes bounds what is read for the head of an answer, interim answers
 	// included. Bytes that are no answer may come without end.
 	maxHeadBytes = 64 << 10
+	// socketReadBuffer is the size of the kernel's buffer, in bytes, for what an upstream sent that
+	// isn't read yet. It takes some hundred events.
+	socketReadBuffer = 32 << 10
+	// defaultAnswers is PoolConfig.Answers of a process without a limit of its memory, in bytes.
+	defaultAnswers = 16 << 20
 )
 
 // conn is one connection to an upstream. It isn't reused after idleTimeout, which
@@ -53,6 +60,10 @@
 	// headBytes is how many bytes may still be read for the present head; negative
 	// while no head is read.
 	headBytes int
+	// head is the memory for the present head, which takes headCost bytes by what meter estimates.
+	head     *bhspool.Share
+	headCost int64
+	meter    bhguard.Meter
 	// idleSince is when the connection was returned to the pool.
 	idleSince   time.Time
 	idleTimeout time.Duration
@@ -80,7 +91,8 @@
 	return c
 }
 
-// Read implements io.Reader. It fails within a head that exceeds maxHeadBytes.
+// Read implements io.Reader. It fails within a head that exceeds maxHeadBytes, or for which there
+// is no memory.
 func (c *conn) Read(buffer []byte) (int, error) {
 	if c.headBytes == 0 {
 		return 0, errors.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
@@ -91,6 +103,10 @@
 	n, err := c.resetConn.Read(buffer)
 	if c.headBytes > 0 {
 		c.headBytes -= n
+		c.headCost += c.meter.Add(buffer[:n])
+		if !c.head.Resize(c.headCost) {
+			return 0, errors.Errorf("no memory for the head of an answer of more than %d bytes", c.meter.Bytes)
+		}
 	}
 	return n, err
 }
@@ -119,9 +135,17 @@
 // rested returns how long the connection has been idle.
 func (c *conn) rested() time.Duration { return time.Since(c.idleSince) }
 
-// Pool keeps idle connections to upstreams. Use NewPool to create one.
+// PoolConfig configures a Pool.
+type PoolConfig struct {
+	// Answers is the memory that all heads of answers share, beyond bhguard.GuaranteedHead each. Nil
+	// means one of 16 MiB.
+	Answers *bhspool.Pool
+}
+
+// Pool keeps idle connections to upstreams. Use NewPool or NewPoolOf to create one.
 type Pool struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	answers *bhspool.Pool
 
 	mu   sync.Mutex
 	idle map[string][]*conn // sorted by idleSince, oldest first
@@ -129,14 +153,33 @@
 	rests RestLimit
 }
 
-// NewPool returns a pool without connections.
-func NewPool() *Pool {
+// NewPool returns a pool without connections for a process without a limit of its memory.
+func NewPool() *Pool { return NewPoolOf(PoolConfig{}) }
+
+// NewPoolOf returns a pool without connections.
+func NewPoolOf(config PoolConfig) *Pool {
+	if config.Answers == nil {
+		config.Answers = bhspool.NewPool(defaultAnswers)
+	}
 	return &Pool{
-		dialer: net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: UserTimeout(userTimeout)},
-		idle:   make(map[string][]*conn),
+		dialer:  net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setSocketOptions},
+		answers: config.Answers,
+		idle:    make(map[string][]*conn),
 	}
 }
 
+// setSocketOptions bounds the time that sent bytes may stay unacknowledged, and what the kernel
+// holds of an answer that isn't read.
+func setSocketOptions(network, address string, raw syscall.RawConn) error {
+	if err := UserTimeout(userTimeout)(network, address, raw); err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) {
+		// Without it the kernel's default holds.
+		_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, socketReadBuffer)
+	})
+}
+
 // Refuses reports whether a new connection to the address is refused, because no
 // process listens there. An address that doesn't answer isn't known to be refused.
 func (p *Pool) Refuses(ctx context.Context, address string) bool {
@@ -230,7 +273,9 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return newConn(netConn), 0, nil
+	c := newConn(netConn)
+	c.head = p.answers.Open(bhguard.GuaranteedHead)
+	return c, 0, nil
 }
 
 func (p *Pool) restLimit() time.Duration {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -15,6 +15,7 @@
 	"github.com/baobabhaven/baobabhaven/bhevent"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
@@ -34,6 +35,8 @@
 	// before it is relayed, so that a broken answer can be replaced by that of
 	// another attempt.
 	bufferLimit = 256 << 10
+	// minStart is the size in bytes of the first buffer for an answer.
+	minStart = 2 << 10
 )
 
 // attempt is one exchange with one upstream instance.
@@ -366,20 +369,20 @@
 // whether another upstream may be tried.
 func (c *call) relay(current *attempt) (bool, error) {
 	answer := current.answer
-	limit := c.bufferLimit(answer)
-	head, err := io.ReadAll(io.LimitReader(answer.Body, limit))
+	memory := c.gate.config.Answers.Open(ownAnswer)
+	defer memory.Close()
+	head, whole, err := readStart(answer.Body, c.bufferLimit(answer), memory)
 	if err != nil {
 		err = bhcode.Wrap(err, bhcode.AnswerIncomplete, "answer of upstream "+current.instance.ID).WithRan(bhcode.RanYes)
 		current.broke(err)
 		return c.retryable(err), err
 	}
 	length := answer.Length
-	if int64(len(head)) < limit {
+	if whole {
 		length = int64(len(head))
 	}
 	c.writeHead(answer, length)
 	err = c.outbox().write(head)
-	whole := int64(len(head)) < limit
 	if err != nil && !whole {
 		current.abandoned()
 	}
@@ -389,6 +392,30 @@
 	return false, c.relayRest(current)
 }
 
+// readStart reads the body until its end, up to the limit in bytes, or as far as there is memory. It
+// reports whether it came to the end.
+func readStart(body io.Reader, limit int64, memory *bhspool.Share) ([]byte, bool, error) {
+	var start []byte
+	for int64(len(start)) < limit {
+		if len(start) == cap(start) {
+			size := min(limit, max(2*int64(cap(start)), minStart))
+			if !memory.Resize(size) {
+				break
+			}
+			start = append(make([]byte, 0, size), start...)
+		}
+		n, err := body.Read(start[len(start):cap(start)])
+		start = start[:len(start)+n]
+		switch {
+		case err == io.EOF:
+			return start, true, nil
+		case err != nil:
+			return nil, false, err
+		}
+	}
+	return start, false, nil
+}
+
 // relayRest sends the client the part of a large answer after what was buffered.
 func (c *call) relayRest(current *attempt) error {
 	buffer := make([]byte, 32<<10)
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -38,6 +38,11 @@
 	// defaultBudget is what a gateway without a limit of its memory holds for its clients,
 	// in bytes.
 	defaultBudget = 64 << 20
+	// defaultAnswers is the same for answers that aren't passed on yet.
+	defaultAnswers = 16 << 20
+	// ownAnswer is what each answer may take of memory before any of it is passed on, in bytes,
+	// whatever others take.
+	ownAnswer = 16 << 10
 )
 
 // Policies provides the current policy and the list of upstreams.
@@ -86,6 +91,9 @@
 	// Admission decides whether a request may wait for a full engine. If it is nil,
 	// requests wait up to their latency objective.
 	Admission bhadmit.Decider
+	// Answers is the memory that events and answers which aren't passed on yet share, beyond
+	// ownAnswer each. If it is nil, that is one of defaultAnswers bytes.
+	Answers *bhspool.Pool
 	// Budget bounds what the gateway holds for its clients. If it is nil, that is
 	// defaultBudget bytes.
 	Budget *bhspool.Budget
@@ -132,6 +140,9 @@
 	if config.Crashes == nil {
 		config.Crashes = bhevidence.New(bhevidence.Config{Refuses: config.Pool.Refuses, Logger: config.Logger, Scope: config.Scope})
 	}
+	if config.Answers == nil {
+		config.Answers = bhspool.NewPool(defaultAnswers)
+	}
 	if config.Budget == nil {
 		config.Budget = bhspool.New(bhspool.Config{Total: defaultBudget})
 	}
--- a/bhgate/stream.go
+++ b/bhgate/stream.go
@@ -81,8 +81,11 @@
 // relayEvents relays complete events until the stream ends. An incomplete event
 // at the end of a broken stream is dropped.
 func (c *call) relayEvents(current *attempt, progress *bhevent.Progress) error {
+	memory := c.gate.config.Answers.Open(ownAnswer)
+	defer memory.Close()
 	reader := bhevent.NewReader(bhevent.ReaderConfig{
 		Source: current.answer.Body, Progress: progress, EndsWithConnection: current.answer.Framing == bhforward.FramedByClose,
+		Resize: memory.Resize,
 	})
 	for {
 		events, err := reader.Next()
--- a/bhguard/limits.go
+++ b/bhguard/limits.go
@@ -14,12 +14,14 @@
 	workMemory = 16 << 10
 	// connMemory is what one connection may take without more from the pool, in bytes.
 	connMemory = GuaranteedHead + ReadBuffer + workMemory
-	// connShare, headShare and bodyShare are the parts of a process's memory, as their inverse,
-	// for connections, for heads beyond GuaranteedHead, and for bodies and unread answers. The
-	// rest is for the process itself and for memory that isn't collected yet.
-	connShare = 4
-	headShare = 8
-	bodyShare = 4
+	// connShare, headShare, bodyShare and answerShare are the parts of a process's memory, as their
+	// inverse, for connections, for heads beyond GuaranteedHead, for bodies and unread answers, and
+	// for answers that upstreams have begun. The rest is for the process itself and for memory that
+	// isn't collected yet.
+	connShare   = 4
+	headShare   = 8
+	bodyShare   = 4
+	answerShare = 24
 	// callerShare, peerShare and operatorShare are the parts of the sockets, as their inverse, for
 	// connections of callers, of the fleet's other processes, and for checks and metrics. The rest
 	// is for connections that the process opens, which are one to an upstream for each caller at
@@ -55,6 +57,9 @@
 	// unread answers, in bytes.
 	Heads  int64
 	Bodies int64
+	// Answers bounds the memory, in bytes, for what upstreams have sent of heads, events and
+	// answers that aren't passed on yet, beyond a part of its own for each.
+	Answers int64
 }
 
 // Limits derives the limits of a process from those of its machine.
@@ -67,5 +72,6 @@
 		Operators: max(minOperators, min(sockets/operatorShare, byMemory/operatorShare)),
 		Heads:     m.Memory / headShare,
 		Bodies:    m.Memory / bodyShare,
+		Answers:   m.Memory / answerShare,
 	}
 }
--- a/bhguard/limits_test.go
+++ b/bhguard/limits_test.go
@@ -28,7 +28,7 @@
 			assert.Less(t, limits.Callers+upstreams+2*limits.Operators, machine.Descriptors-reservedFiles, "%+v", machine)
 		}
 		callers := int64(limits.Callers) * connMemory
-		assert.LessOrEqual(t, callers+limits.Heads+limits.Bodies, machine.Memory*2/3, "%+v", machine)
+		assert.LessOrEqual(t, callers+limits.Heads+limits.Bodies+limits.Answers, machine.Memory*2/3, "%+v", machine)
 	}
 }
 
--- a/bhjob/checkpoint.go
+++ b/bhjob/checkpoint.go
@@ -35,7 +35,7 @@
 	defer r.mu.Unlock()
 	var items []ItemCheckpoint
 	for _, run := range r.runs {
-		if run.phase == ending || run.unplaced || run.checkpoint.LastEvent == run.savedEvent {
+		if run.phase == ending || run.unplaced || run.checkpoint.LastEvent == run.savedEvent || run.textBytes > recordLimit {
 			continue
 		}
 		run.savedEvent = run.checkpoint.LastEvent
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -11,6 +11,7 @@
 	"github.com/baobabhaven/baobabhaven/bhevent"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
@@ -69,6 +70,8 @@
 	savedEvent string
 	text       []string
 	textBytes  int
+	// memory is what the output takes of RunnerConfig.Outputs; nil if it had none yet.
+	memory *bhspool.Share
 	// unplaced reports that the output ends with an event without an ID, so that no engine can
 	// resume it.
 	unplaced bool
@@ -170,7 +173,10 @@
 // ref names the run's item.
 func (ir *itemRun) ref() itemRef { return refOf(ir.job, ir.item.ID) }
 
-func (ir *itemRun) remove() { delete(ir.runner.runs, ir.ref()) }
+func (ir *itemRun) remove() {
+	ir.freeOutput()
+	delete(ir.runner.runs, ir.ref())
+}
 
 // send makes one request for the item to the engine and receives its events. A nil
 // error means that the output is complete.
--- a/bhjob/output.go
+++ b/bhjob/output.go
@@ -12,9 +12,15 @@
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
 
-// maxOutputBytes bounds the output of an item, which is kept in memory. Outputs
-// have some kilobytes; an engine in trouble may send events without end.
-const maxOutputBytes = 4 << 20
+const (
+	// maxOutputBytes bounds the output of an item, which is kept in memory. Outputs
+	// have some kilobytes; an engine in trouble may send events without end.
+	maxOutputBytes = 4 << 20
+	// ownOutputBytes is what the output of each item may take, whatever others take.
+	ownOutputBytes = 256 << 10
+	// defaultOutputsBytes is RunnerConfig.Outputs of a process without a limit of its memory.
+	defaultOutputsBytes = 64 << 20
+)
 
 // bindOutput prepares the output for events of the instance. It drops what can't be
 // resumed, and what an upstream of another software version wrote, since the two don't
@@ -33,9 +39,23 @@
 // dropOutput has the item start anew. The caller holds the runner's mutex.
 func (ir *itemRun) dropOutput() {
 	ir.checkpoint = Checkpoint{}
+	ir.freeOutput()
 	ir.savedEvent, ir.text, ir.textBytes, ir.events, ir.runTime, ir.resumed, ir.unplaced = "", nil, 0, 0, 0, false, false
 }
 
+// holdOutput takes the memory for the output so far. It reports false if there is none left.
+func (ir *itemRun) holdOutput() bool {
+	if ir.memory == nil {
+		ir.memory = ir.runner.config.Outputs.Open(ownOutputBytes)
+	}
+	return ir.memory.Resize(int64(ir.textBytes))
+}
+
+// freeOutput returns the memory of the output.
+func (ir *itemRun) freeOutput() {
+	ir.memory.Close()
+}
+
 // currentCheckpoint returns the checkpoint of the output so far, which is empty if the
 // output can't be resumed.
 func (ir *itemRun) currentCheckpoint() Checkpoint {
@@ -85,7 +105,8 @@
 }
 
 // addEvents adds data, a sequence of complete events that the progress ends with. It
-// drops the output and returns an error if that gets too large.
+// drops the output and returns an error if that gets too large, or finds no memory beside those of
+// other items.
 func (ir *itemRun) addEvents(data []byte, progress *bhevent.Progress) error {
 	if len(data) == 0 {
 		return nil
@@ -96,9 +117,10 @@
 		ir.text, ir.textBytes = []string{ir.checkpoint.Text}, len(ir.checkpoint.Text)
 		ir.checkpoint.Text = ""
 	}
-	if ir.textBytes += len(data); ir.textBytes > maxOutputBytes {
+	if ir.textBytes += len(data); ir.textBytes > maxOutputBytes || !ir.holdOutput() {
+		size := ir.textBytes
 		ir.dropOutput()
-		return bhcode.New(bhcode.AnswerIncomplete, "the output of an item has more than %d bytes", maxOutputBytes).WithRan(bhcode.RanYes)
+		return bhcode.New(bhcode.AnswerIncomplete, "an item has %d bytes of output, of which there is no memory or more than %d", size, maxOutputBytes).WithRan(bhcode.RanYes)
 	}
 	for _, event := range bhevent.Parse(data) {
 		if event.IsComment() {
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 	"github.com/baobabhaven/baobabhaven/bhshare"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwatch"
 )
@@ -100,6 +101,9 @@
 	// Crashes remembers the items that crash engines. If it is nil, this runner
 	// remembers its own.
 	Crashes Crashes
+	// Outputs is the memory that the outputs of all items share beyond ownOutputBytes each. Nil means
+	// one of defaultOutputsBytes.
+	Outputs *bhspool.Pool
 	Dialect bhforward.Dialect
 	Clock   bhclock.Clock
 	Logger  bhlog.Logger
@@ -165,6 +169,9 @@
 	if config.Limits == nil {
 		config.Limits = bhcap.NewLedger(bhcap.Config{})
 	}
+	if config.Outputs == nil {
+		config.Outputs = bhspool.NewPool(defaultOutputsBytes)
+	}
 	if config.Crashes == nil {
 		config.Crashes = bhevidence.New(bhevidence.Config{Refuses: config.Pool.Refuses, Logger: config.Logger, Scope: config.Scope})
 	}
--- a/bhsidecar/batch.go
+++ b/bhsidecar/batch.go
@@ -16,6 +16,7 @@
 	"github.com/baobabhaven/baobabhaven/bhchat"
 	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhconf"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
 
@@ -27,6 +28,8 @@
 	maxErrorBodyBytes = 4 << 10
 	// maxAnswerBytes bounds the text of an item's answer, which is kept in memory.
 	maxAnswerBytes = 4 << 20
+	// ownAnswerBytes is what the answer of each item may take of memory, whatever others take.
+	ownAnswerBytes = 256 << 10
 	// probePath is the path requested from an engine after a crash. Any
 	// response, whatever its status, shows that the engine is up.
 	probePath = "/load"
@@ -297,7 +300,9 @@
 		return bhbatch.Result{}, responseError(response)
 	}
 	signalFirstToken := sync.OnceFunc(e.onFirstToken)
-	builder := answerBuilder{request: request, resume: resume, emit: func(piece bhbatch.Piece) {
+	memory := e.upstream.answers.Open(ownAnswerBytes)
+	defer memory.Close()
+	builder := answerBuilder{request: request, memory: memory, resume: resume, emit: func(piece bhbatch.Piece) {
 		signalFirstToken()
 		emit(piece)
 	}}
@@ -335,6 +340,7 @@
 // answerBuilder builds the completion of one item from the engine's stream.
 type answerBuilder struct {
 	request bhchat.Request
+	memory  *bhspool.Share
 	resume  bhbatch.ResumePoint
 	emit    func(bhbatch.Piece)
 
@@ -364,6 +370,9 @@
 		if b.text.Len() > maxAnswerBytes {
 			return bhbatch.Result{}, bhcode.New(bhcode.UpstreamFailed, "the answer has more than %d bytes", maxAnswerBytes)
 		}
+		if size := b.text.Len() + b.decoder.Pending(); !b.memory.Resize(int64(size)) {
+			return bhbatch.Result{}, bhcode.New(bhcode.NoUpstream, "the sidecar has no memory for an answer of %d bytes", size)
+		}
 		if decodeErr != nil {
 			return bhbatch.Result{}, decodeErr
 		}
--- a/bhsidecar/sidecar.go
+++ b/bhsidecar/sidecar.go
@@ -23,6 +23,7 @@
 	"github.com/baobabhaven/baobabhaven/bhmetric"
 	"github.com/baobabhaven/baobabhaven/bhplatform"
 	"github.com/baobabhaven/baobabhaven/bhserve"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhtree"
 	"github.com/baobabhaven/baobabhaven/bhwire"
@@ -72,7 +73,7 @@
 	s := &Sidecar{
 		config:       config,
 		logger:       logger,
-		upstreams:    newUpstreamSet(config.Settings.Host, logger),
+		upstreams:    newUpstreamSet(config.Settings.Host, newAnswers(config.Limits), logger),
 		leaveStarted: make(chan struct{}),
 		departure:    bhdrain.NewDeparture(config.Settings.DrainTimeout()),
 		sessions:     make(map[*bhlink.Session]struct{}),
@@ -93,6 +94,14 @@
 	return s
 }
 
+// newAnswers returns the memory for large answers of batch items; nil without a limit.
+func newAnswers(limits bhguard.Limits) *bhspool.Pool {
+	if limits.Answers <= 0 {
+		return nil
+	}
+	return bhspool.NewPool(limits.Answers)
+}
+
 // Run serves until ctx is done, then stops gracefully: it refuses new requests,
 // waits for running ones, answers those that can't end within
 // Settings.DrainTimeout, and closes its sessions. It returns an error if it can't listen or if one of its servers
--- a/bhsidecar/upstream.go
+++ b/bhsidecar/upstream.go
@@ -23,6 +23,7 @@
 	"github.com/baobabhaven/baobabhaven/bhcrash"
 	"github.com/baobabhaven/baobabhaven/bhforward"
 	"github.com/baobabhaven/baobabhaven/bhlog"
+	"github.com/baobabhaven/baobabhaven/bhspool"
 	"github.com/baobabhaven/baobabhaven/bhsync"
 	"github.com/baobabhaven/baobabhaven/bhwire"
 )
@@ -48,6 +49,8 @@
 	batchLimiter *batchLimiter
 	// limits holds the limit that the upstream names.
 	limits *bhcap.Ledger
+	// answers is the memory for large answers of batch items; nil allows any.
+	answers *bhspool.Pool
 	// lost is set from the time a batch item loses the engine until the engine
 	// responds.
 	lost atomic.Bool
@@ -221,6 +224,8 @@
 type upstreamSet struct {
 	host   string
 	logger bhlog.Logger
+	// answers is that of each upstream.
+	answers *bhspool.Pool
 	// weights are the client accounts' weights in the configuration in force.
 	weights atomic.Pointer[map[string]float64]
 
@@ -229,8 +234,8 @@
 	byName  map[string]*upstream
 }
 
-func newUpstreamSet(host string, logger bhlog.Logger) *upstreamSet {
-	return &upstreamSet{host: host, logger: logger, byName: make(map[string]*upstream)}
+func newUpstreamSet(host string, answers *bhspool.Pool, logger bhlog.Logger) *upstreamSet {
+	return &upstreamSet{host: host, answers: answers, logger: logger, byName: make(map[string]*upstream)}
 }
 
 // configure applies the host's part of the snapshot, unless that version or a
@@ -278,6 +283,7 @@
 // of that name, if the address is the same.
 func (s *upstreamSet) buildUpstream(declared bhconf.Upstream, models []string) *upstream {
 	updated := newUpstream(declared, s.weight)
+	updated.answers = s.answers
 	if old, ok := s.byName[declared.Name]; ok && old.config.Address == declared.Address {
 		updated.keepAlive, updated.oneShot = old.keepAlive, old.oneShot
 		updated.inflight, updated.lastRunID = old.inflight, old.lastRunID
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -62,6 +62,8 @@
 	// unwilling is the share of the streams that the engine answers with an error instead
 	// of going on with them. It breaks off half that share.
 	unwilling float64
+	// flood answers the items, if it isn't nil.
+	flood http.Handler
 }
 
 func newEngine(t *testing.T, number int, version string, record *recorder) *engine {
@@ -151,6 +153,10 @@
 		e.cutHead(w, r, id)
 		return
 	}
+	if flood := e.floodFor(r); flood != nil {
+		flood.ServeHTTP(w, r)
+		return
+	}
 	switch {
 	case strings.HasPrefix(body, "poison"):
 		e.write(w, r, http.StatusUnprocessableEntity, "")
@@ -174,6 +180,16 @@
 	}
 }
 
+// floodFor returns what answers the request without an end, or nil.
+func (e *engine) floodFor(r *http.Request) http.Handler {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !strings.HasPrefix(r.URL.Path, "/jobs/") {
+		return nil
+	}
+	return e.flood
+}
+
 // admit waits for a slot. It reports false if the queue is full or the caller left.
 func (e *engine) admit(r *http.Request) bool {
 	e.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -136,7 +136,9 @@
 	mu      sync.Mutex
 	version int
 	// below says that the route below the batch route is there.
-	below    bool
+	below bool
+	// flood says that the routes to upstreams that answer without an end are there.
+	flood    bool
 	keys     map[string][]string
 	accepted int
 	drained  map[string]bool
@@ -473,6 +475,15 @@
 		})
 		services = append(services, map[string]any{"name": belowService, "engine": map[string]any{"slots": engineSlots}})
 	}
+	if w.flood {
+		for _, kind := range floodRoutes {
+			routes = append(routes, map[string]any{
+				"name": "flood-" + kind, "host": "svc.example", "prefix": "/flood-" + kind + "/", "kind": kind, "service": "flood", "maxAttempts": 2, "timeoutMs": 4000,
+				"targetLatencyMs": 300, "resumable": true, "public": true,
+			})
+		}
+		services = append(services, map[string]any{"name": "flood"})
+	}
 	var tenants []map[string]any
 	for name, keys := range w.keys {
 		tenants = append(tenants, map[string]any{"name": name, "apiKeys": keys, "ratePerS": rates[name], "burst": rates[name]})
