Events: a byte order mark hides no field

An item's output lacked the first line, or its first event had no ID, if the stream began with a byte order mark. Cause: the check of streams passes over the mark, the parser took it for a part of the field's name. Change: the parser passes over it, too. Result: the new case of TestParse failed before.

--- a/bhevent/event.go
+++ b/bhevent/event.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		hasLines = true
-		field, value, _ := strings.Cut(line, ":")
+		field, value, _ := strings.Cut(strings.TrimPrefix(line, byteOrderMark), ":")
 		value = strings.TrimPrefix(value, " ")
 		switch field {
 		case "id":
--- a/bhevent/event_test.go
+++ b/bhevent/event_test.go
@@ -30,6 +30,7 @@
 	assert.Equal(t, Event{ID: "7", Data: []string{"a b", "c"}}, events[0])
 	assert.Equal(t, Event{}, events[1])
 	assert.Equal(t, Event{ID: "8", Data: []string{"d"}}, events[2])
+	assert.Equal(t, []Event{{ID: "1", Data: []string{"a"}}}, Parse([]byte("\ufeffid: 1\ndata: a\n\n")), "a stream may begin with a byte order mark")
 }
 
 // A resumed stream that repeats or skips an event must not reach the client.
