Evidence: an upstream's long ID costs its own evidence alone

One upstream with an ID of 130 bytes or more kept all evidence of crashes from being saved while its own counted: the store refuses names over 200 bytes, and all is saved in one transaction. Change: what has no name there stays with the processes.

--- a/bhevidence/save.go
+++ b/bhevidence/save.go
@@ -128,7 +128,7 @@
 }
 
 // unsaved returns the evidence that this process has to save: its own, and that of
-// others which seem to have failed to.
+// others which seem to have failed to. What the store has no name for stays with the processes.
 func (r *Registry) unsaved() []entry {
 	known := r.knownEntries()
 	r.mu.Lock()
@@ -144,7 +144,7 @@
 		if e.clears() && e.at.Sub(savedAt) > clearedAgain {
 			saved = false
 		}
-		if !saved && (own[name] || time.Since(e.at) > othersAfter) {
+		if len(name) <= bhplatform.MaxNameBytes && !saved && (own[name] || time.Since(e.at) > othersAfter) {
 			entries = append(entries, e)
 		}
 	}
