--- a/soak/head_test.go
+++ b/soak/head_test.go
@@ -72,8 +72,8 @@
 	return e.draws(func(e *engine) float64 { return e.cutting * float64(min(2, connectionOf(r).requests.Load())) })
 }
 
-// cutHead writes a part of the head of an answer with status 200, and closes or resets the
-// connection.
+// cutHead writes a part of the head of an answer with status 200, or a whole one whose status is none,
+// and closes or resets the connection.
 func (e *engine) cutHead(w http.ResponseWriter, r *http.Request, id string) {
 	var fields strings.Builder
 	_ = w.Header().Write(&fields)
@@ -82,10 +82,14 @@
 	rand.Shuffle(len(lines), func(i, j int) { lines[i], lines[j] = lines[j], lines[i] })
 	head := "HTTP/1.1 200 OK\r\n" + strings.Join(lines, "") + "\r\n"
 	last := len(head) - 1
-	if rand.IntN(2) == 0 {
+	switch rand.IntN(5) {
+	case 0, 1:
 		last -= rand.IntN(4) // around the ends of the last two lines
-	} else {
+	case 2, 3:
 		last = 1 + rand.IntN(last)
+	case 4: // a whole head whose status is none
+		last = len(head)
+		head = strings.Replace(head, "200", []string{"000", "099", "101", "600", "+20"}[rand.IntN(5)], 1)
 	}
 	conn, _, err := http.NewResponseController(w).Hijack()
 	if err != nil {
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -29,6 +29,9 @@
 	finishes
 	// babbles sends bytes that never become an event, until the caller closes.
 	babbles
+	// garbles puts a byte that isn't UTF-8 into the data of an event, and ends the answer with its last
+	// chunk. Only items are garbled: live streams are passed on as they come.
+	garbles
 )
 
 const (
@@ -46,7 +49,11 @@
 	if !breaks && rand.Float64() >= e.sabotaged {
 		return none
 	}
-	return []sabotage{resets, closes, finishes, babbles}[rand.IntN(4)]
+	ways := []sabotage{resets, closes, finishes, babbles, garbles}
+	if !strings.HasPrefix(r.URL.Path, "/jobs/") {
+		ways = ways[:len(ways)-1]
+	}
+	return ways[rand.IntN(len(ways))]
 }
 
 func (e *engine) sabotage(share float64) {
@@ -99,6 +106,10 @@
 	}
 	if how != none {
 		part := event(id, last+1, e.version)
+		if how == garbles {
+			_ = write(strings.TrimSuffix(part, "\n\n") + "\xff\n\n")
+			return
+		}
 		breakOff(part[:1+rand.IntN(len(part)-1)], how, write)
 	}
 }
