--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -65,7 +65,7 @@
 		return
 	}
 	e.mu.Lock()
-	e.born++
+	e.begin()
 	e.down, e.leaving = false, false
 	e.mu.Unlock()
 	e.relist()
--- a/soak/crowd_engines_test.go
+++ b/soak/crowd_engines_test.go
@@ -109,8 +109,9 @@
 func (w *world) addFlood(address string) {
 	w.flood = true
 	w.configure()
-	require.NoError(w.t, w.store.put("servers", "flood-1", map[string]any{
-		"service": "flood", "address": address, "zone": "z", "version": "v1", "slots": floodSlots, "state": "ready", "born": 1,
+	require.NoError(w.t, w.store.put("servers", "flood-1", entry{
+		Service: "flood", Address: address, Zone: "z", Version: "v1", Slots: floodSlots, State: "ready",
+		Stage: "both", Models: loadedModels(), Sequence: 1, Born: time.Now().UnixMilli(),
 	}))
 	time.Sleep(lead)
 }
--- a/soak/disrupt_test.go
+++ b/soak/disrupt_test.go
@@ -12,9 +12,6 @@
 	"time"
 
 	"github.com/stretchr/testify/assert"
-	"github.com/stretchr/testify/require"
-
-	"github.com/baobabhaven/baobabhaven/bhplatform"
 )
 
 const (
@@ -87,10 +84,10 @@
 	e := newEngine(w.t, len(w.engines), "v1", w.record)
 	e.relist = func() {
 		if w.t.Context().Err() == nil {
-			w.listEngine(e, "ready")
+			w.list(e, "ready")
 		}
 	}
-	w.listEngine(e, "ready")
+	w.list(e, "ready")
 	p := w.newProcess("runner", len(w.engines), e.address)
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -130,24 +127,6 @@
 	w.configure()
 }
 
-// listOdd writes an entry among those of the engines that names none to use.
-func (w *world) listOdd(random *rand.Rand) {
-	e := w.engines[random.IntN(len(w.engines))]
-	record := []string{
-		strings.Repeat(`{"service":`, rowBytes/len(`{"service":`)),
-		strings.Repeat(`[`, rowBytes/2) + strings.Repeat(`]`, rowBytes/2),
-		`{"service":"llm","address":"127.0.0.1:1","zone":"z","version":"v1","slots":1e300,"state":"ready","born":1}`,
-		`{"service":"llm","address":"127.0.0.1:99999","zone":"z","version":"v1","slots":4,"state":"ready","born":1}`,
-		`{"service":"llm","address":"127.0.0.1:0","zone":"z","version":"v1","slots":4,"state":"ready","born":1}`,
-		`{"service":"llm","address":"` + e.address + `","zone":"z","version":"v1","slots":4,"state":"resting","born":9000000000000000000}`,
-		`{"service":"nobody","address":"` + e.address + `","zone":"z","version":"v1","slots":4,"state":"ready","born":9000000000000000000}`,
-		`{"service":"llm","address":"` + e.address + `","slots":9223372036854775807,"state":"ready"}`,
-		"\xff\x00\xfe",
-	}[random.IntN(9)]
-	key := bhplatform.Key{Table: "servers", Name: fmt.Sprint("odd-", random.IntN(3))}
-	require.NoError(w.t, w.store.store.Force(key, []byte(record)))
-}
-
 // failsItem reports whether the engine fails the request, an item of a job.
 func (e *engine) failsItem(r *http.Request) bool {
 	return strings.HasPrefix(r.URL.Path, "/jobs/") && e.draws(func(e *engine) float64 { return e.gray })
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -34,12 +34,20 @@
 	proxy   *proxy
 	record  *recorder
 	slots   chan struct{}
+	// entryWrites is held while the engine's entry is written, so that the newest is last. checkIns
+	// begins the heartbeats.
+	entryWrites sync.Mutex
+	checkIns    sync.Once
 
 	mu sync.Mutex
-	// born is the number of starts. leaving says that all answers tell that the
-	// engine leaves.
-	born    int
-	leaving bool
+	// starts is the number of starts, and startedAt when the last one was, in milliseconds since
+	// 1970. leaving says that all answers tell that the engine leaves.
+	starts    int
+	startedAt int64
+	leaving   bool
+	// state is what the engine's entry says, and sequence the number of its writes.
+	state    string
+	sequence int
 	// sabotaged is the share of the streams that the engine breaks off in one of the
 	// ways of sabotage.
 	sabotaged float64
@@ -70,7 +78,8 @@
 	id := fmt.Sprintf("i-%d", number)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	e := &engine{id: id, version: version, record: record, born: 1, slots: make(chan struct{}, engineSlots), again: make(map[net.Conn]string)}
+	e := &engine{id: id, version: version, record: record, slots: make(chan struct{}, engineSlots), again: make(map[net.Conn]string)}
+	e.begin()
 	e.proxy = newProxy(t, hostIP("runner", number), listener.Addr().String())
 	e.proxy.flooded = func() { record.broken("over %d bytes of an answer of %s were read", maxBabble, id) }
 	e.address = e.proxy.address()
@@ -97,7 +106,7 @@
 	if r.URL.Path == "/report" {
 		e.mu.Lock()
 		defer e.mu.Unlock()
-		_ = json.NewEncoder(w).Encode(map[string]int{"running": e.running, "waiting": e.waiting})
+		_ = json.NewEncoder(w).Encode(e.report())
 		return
 	}
 	id := r.Header.Get("X-Request-Id")
@@ -128,7 +137,7 @@
 func (e *engine) start() (name string, leaving bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return fmt.Sprintf("%s/%d", e.id, e.born), e.leaving
+	return fmt.Sprintf("%s/%d", e.id, e.starts), e.leaving
 }
 
 // leave has the engine tell in all answers that it leaves.
@@ -143,7 +152,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.leaving {
-		e.born++
+		e.begin()
 		e.leaving = false
 	}
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -164,10 +164,10 @@
 		w.engines = append(w.engines, newEngine(t, i, []string{"v1", "v1.1"}[i%2], w.record))
 		w.engines[i].relist = func() {
 			if t.Context().Err() == nil {
-				w.list(i, "ready")
+				w.list(w.engines[i], "ready")
 			}
 		}
-		w.list(i, "ready")
+		w.list(w.engines[i], "ready")
 	}
 	return w
 }
@@ -332,14 +332,18 @@
 	case 7:
 		return func(context.Context) { w.rotate("zoo") }
 	case 8:
-		return func(ctx context.Context) { w.list(e, "draining"); pause(ctx, last); w.list(e, "ready") }
+		return func(ctx context.Context) {
+			w.list(w.engines[e], "draining")
+			pause(ctx, last)
+			w.list(w.engines[e], "ready")
+		}
 	case 9:
 		// The list goes on saying that the engine is ready.
 		return func(ctx context.Context) {
 			w.engines[e].leave()
 			pause(ctx, drainBound+last)
 			w.engines[e].restart()
-			w.list(e, "ready")
+			w.list(w.engines[e], "ready")
 		}
 	case 10, 11, 12:
 		return w.limit(w.engines[e], random, 2*limitLead+2*last)
@@ -390,12 +394,12 @@
 // calm ends all faults.
 func (w *world) calm() {
 	w.store.set(bhstand.Serve)
-	for i, e := range w.engines {
+	for _, e := range w.engines {
 		e.proxy.set(pass)
 		e.sabotage(0)
 		e.setLimit(0)
 		e.restart()
-		w.list(i, "ready")
+		w.list(e, "ready")
 	}
 	for _, p := range w.processes {
 		p.store.set(pass)
@@ -438,22 +442,6 @@
 	w.record.mu.Unlock()
 }
 
-// list writes the entry of one of the engines.
-func (w *world) list(i int, state string) { w.listEngine(w.engines[i], state) }
-
-// listEngine writes the engine's entry, unless the engine is lost.
-func (w *world) listEngine(e *engine, state string) {
-	e.mu.Lock()
-	born, lost := e.born, e.lost
-	e.mu.Unlock()
-	if lost {
-		return
-	}
-	require.NoError(w.t, w.store.put("servers", e.id, map[string]any{
-		"service": "llm", "address": e.address, "zone": centre(e.id), "version": e.version, "slots": engineSlots, "state": state, "born": born,
-	}))
-}
-
 // configure writes the next version of the configuration.
 func (w *world) configure() {
 	w.mu.Lock()
