--- a/bhjson/json_test.go
+++ b/bhjson/json_test.go
@@ -47,3 +47,26 @@
 		}
 	})
 }
+
+func TestDecodeMatchesExactNames(t *testing.T) {
+	type record struct {
+		ID    *string  `json:"id"`
+		Count int      `json:"count"`
+		Names []string `json:"names"`
+	}
+	for data, want := range map[string]record{
+		`{"id":"a","ID":"b","Count":3,"count":2,"other":null}`: {ID: new("a"), Count: 2},
+		`{"ID":"b","COUNT":3,"Names":["x"]}`:                   {},
+	} {
+		var decoded record
+		require.NoError(t, Decode([]byte(data), &decoded, RejectNull), data)
+		assert.Equal(t, want, decoded, data)
+	}
+	for _, data := range []string{`{"id":null}`, `{"count":null}`, `{"names":null}`, `{"names":[null]}`} {
+		require.Error(t, Decode([]byte(data), new(record), RejectNull), data)
+		require.NoError(t, Decode([]byte(data), new(record)), data)
+	}
+	for _, data := range []string{`{"id":1}`, `{"count":"1"}`, `{"count":1.5}`, `{"id":"a","id":"b"}`, `{} {}`, "{\"id\":\"\xff\"}", ``} {
+		require.Error(t, Decode([]byte(data), new(record)), data)
+	}
+}
