Upstreams: the process at an address says which entry is true

Cause: of two entries at one address the later start was the truth, whatever the process there answered. 421 was used to pass over the entry, not for the worker that it hid, and a runner gave the item back and claimed it again.

Change: evidence on each start (bhwatch/occupants.go): answers 421, starts in engines' reports, and heartbeats of another entry at the address. A new start still replaces the one before at once. 421 of the instance itself no longer has it passed over. Odd entries are logged, once for each fault.

Why it works: only the process at an address can tell which entry is its own, and each of these answers is sent anyway.

--- a/bhcmd/gateway.go
+++ b/bhcmd/gateway.go
@@ -387,9 +387,13 @@
 	})
 }
 
-// listedStart returns the start of an upstream that is listed at the address.
+// listedStart returns the start of an upstream that is listed at the address, or false if it
+// isn't certain which one is there.
 func (h *hosted) listedStart(address string) (bhcrash.Listed, bool) {
 	view := h.watcher.View()
+	if view.Contested[address] {
+		return bhcrash.Listed{}, false
+	}
 	instance, ok := view.At(address)
 	upstream := bhcrash.Source{Host: instance.ID, Incarnation: uint64(instance.Born)}
 	return bhcrash.Listed{Upstream: upstream, Ready: !instance.Draining}, ok
--- a/bhforward/dialect.go
+++ b/bhforward/dialect.go
@@ -12,6 +12,8 @@
 	Deadline string
 	// Instance names the only upstream that may run the request.
 	Instance string
+	// Occupant names, in answers with status 421, the upstream that gave them.
+	Occupant string
 	// Account names the client account whose key the request carried.
 	Account string
 	// NotRun marks an answer to a request that the upstream did not run.
@@ -63,6 +65,17 @@
 	return value != "" && value != "0"
 }
 
+// Misdirected reports whether the answer to a request for the instance came from another one, and
+// which one that is; "" if it doesn't say. An instance also answers 421 to what it can't run
+// itself, such as a request for other weights.
+func (d *Dialect) Misdirected(answer *Answer, instance string) (occupant string, misdirected bool) {
+	if answer.Status != http.StatusMisdirectedRequest {
+		return "", false
+	}
+	occupant = answer.Header.Get(d.Occupant)
+	return occupant, occupant != instance
+}
+
 // Refused reports whether the answer states that the upstream did not run the
 // request: by the NotRun field or by status 421.
 func (d *Dialect) Refused(answer *Answer) bool {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -248,7 +248,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	timer := c.newSilenceTimer(cancel)
 	request := c.upstreamRequest(instance, lastEventID)
-	sentAt := time.Now()
+	sentAt, asked := time.Now(), c.gate.config.Clock.Now()
 	answer, err := c.gate.config.Pool.Exchange(ctx, instance.Address, request)
 	ran := bhcode.RanYes
 	if err != nil {
@@ -282,7 +282,7 @@
 	if c.gate.config.Dialect.IsLeaving(answer) {
 		c.gate.config.Policies.MarkLeaving(instance)
 	}
-	c.recordStatus(instance, answer)
+	c.recordStatus(instance, answer, asked)
 	return &attempt{
 		instance: instance, answer: answer, sentAt: sentAt, timer: timer, cancel: cancel,
 		broke:     func(err error) { c.upstreamBroke(ctx, instance, sentAt, err) },
@@ -291,11 +291,12 @@
 }
 
 // recordStatus records what the status of an answer says about its upstream: that it failed, has
-// moved, or works. A refusal says nothing about its health.
-func (c *call) recordStatus(instance bhwatch.Instance, answer *bhforward.Answer) {
+// moved, or works. A refusal says nothing about its health. The request was sent at asked.
+func (c *call) recordStatus(instance bhwatch.Instance, answer *bhforward.Answer, asked time.Duration) {
 	balancer := c.gate.config.Balancer
-	if answer.Status == http.StatusMisdirectedRequest {
+	if occupant, moved := c.gate.config.Dialect.Misdirected(answer, instance.ID); moved {
 		balancer.Moved(instance.ID)
+		c.gate.config.Policies.ObserveOccupant(instance, occupant, asked)
 	}
 	switch {
 	case c.gate.config.Dialect.Refused(answer):
--- a/bhgate/gate.go
+++ b/bhgate/gate.go
@@ -58,6 +58,10 @@
 	// MarkLeaving records that an answer of the instance said that it is leaving.
 	// Later views list this start of it as draining.
 	MarkLeaving(instance bhwatch.Instance)
+	// ObserveOccupant records that an answer to a request for the instance, sent at the given
+	// time of the clock, came from another process at its address: the occupant, or "" if it
+	// didn't say. Later views leave the instance out.
+	ObserveOccupant(asked bhwatch.Instance, occupant string, sent time.Duration)
 }
 
 // Quota enforces the request rates of client accounts.
--- a/bhgate/helpers_test.go
+++ b/bhgate/helpers_test.go
@@ -26,7 +26,7 @@
 )
 
 var testDialect = bhforward.Dialect{
-	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Account: "Account",
+	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Occupant: "Occupant", Account: "Account",
 	NotRun: "Not-Run", Leaving: "Leaving", LastEvent: "Last-Event-Id", Resumes: "Resumes", KeyHeader: "Authorization",
 	Key: func(header http.Header) string { return strings.TrimPrefix(header.Get("Authorization"), "Key ") },
 	Parts: func(header http.Header) []string {
@@ -97,6 +97,8 @@
 	confirmed      *bhwatch.View
 	confirmErr     error
 	confirms       int
+	// occupants holds what ObserveOccupant recorded.
+	occupants []string
 }
 
 // View implements Policies.
@@ -155,6 +157,13 @@
 	p.view.Fleet = fleet
 }
 
+// ObserveOccupant implements Policies.
+func (p *fakePolicies) ObserveOccupant(asked bhwatch.Instance, occupant string, _ time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.occupants = append(p.occupants, asked.ID+" is "+occupant)
+}
+
 func (p *fakePolicies) update(change func(p *fakePolicies)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/bhjob/engine_test.go
+++ b/bhjob/engine_test.go
@@ -50,7 +50,9 @@
 	live, waiting int
 	// limit is what answers and reports name as the limit; empty if they name none.
 	limit string
-	// born is the engine's start in its reports.
+	// id is the engine's ID; if it is set, the engine refuses requests for others. born is its
+	// start in its reports.
+	id   string
 	born int64
 	// leaving and reportsLeaving say whether answers and reports state that the
 	// engine is leaving.
@@ -102,6 +104,7 @@
 	if e.leaving {
 		w.Header().Set(dialect.Leaving, "1")
 	}
+	id := e.id
 	next, onEnd, ends := e.next, e.onEnd, e.isLethal(r)
 	e.abortAfter, e.next = 0, nil
 	repeat, fails := e.fail(r)
@@ -126,6 +129,11 @@
 		return
 	}
 	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
+	if id != "" && r.Header.Get(dialect.Instance) != id {
+		w.Header().Set(dialect.Occupant, id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
 	if status != http.StatusOK {
 		w.WriteHeader(status)
 		return
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -47,6 +47,7 @@
 	errFailed      = errors.New("the engine failed")
 	errRejected    = errors.New("the engine rejected the item for good")
 	errNotServed   = errors.New("the item's route does not lead to this engine")
+	errOtherEngine = errors.New("another engine has the address")
 	errNoRoute     = errors.New("the item's route no longer exists")
 	// errRouteUnknown means that the item's route doesn't exist, as far as a policy tells
 	// that may be older than the one of the gateway that took the job.
@@ -186,7 +187,7 @@
 	defer cancel()
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
-	sentAt := time.Now()
+	sentAt, asked := time.Now(), ir.runner.config.Clock.Now()
 	answer, err := ir.runner.config.Pool.Exchange(ctx, instance.Address, ir.newRequest(instance.ID))
 	if err != nil {
 		return err
@@ -205,8 +206,9 @@
 	}
 	switch {
 	case ir.runner.config.Dialect.Refused(answer):
-		if answer.Status == http.StatusMisdirectedRequest {
-			return errNotServed
+		if occupant, misdirected := ir.runner.config.Dialect.Misdirected(answer, instance.ID); misdirected {
+			ir.runner.config.Policies.ObserveOccupant(instance, occupant, asked)
+			return errors.Wrapf(errOtherEngine, "%s asked, %q answered", instance.ID, occupant)
 		}
 		return errRefused
 	case answer.Status == http.StatusUnprocessableEntity:
--- a/bhjob/outcome.go
+++ b/bhjob/outcome.go
@@ -49,7 +49,7 @@
 		ir.recordResult(Result{ID: ir.item.ID, Status: Dead}, err.Error())
 	case errors.Is(err, errFailed):
 		ir.countFailure()
-	case errors.Is(err, errRefused), errors.Is(err, errSuspectRuns), errors.Is(err, errRouteUnknown):
+	case errors.Is(err, errRefused), errors.Is(err, errOtherEngine), errors.Is(err, errSuspectRuns), errors.Is(err, errRouteUnknown):
 		ir.waitFor(refusedRetryDelay)
 	case errors.As(err, &limited):
 		ir.waitFor(limited.wait)
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -85,6 +85,13 @@
 	// MarkLeaving records that an answer of the instance said that it is leaving.
 	// Later views list this start of it as draining.
 	MarkLeaving(instance bhwatch.Instance)
+	// ObserveOccupant records that an answer to a request for the instance, sent at the given
+	// time of the clock, came from another process at its address: the occupant, or "" if it
+	// didn't say. Later views leave the instance out.
+	ObserveOccupant(asked bhwatch.Instance, occupant string, sent time.Duration)
+	// ObserveStart records that the process at the address started at born, in milliseconds
+	// since the Unix epoch, by an answer to a request that was sent at the given time.
+	ObserveStart(address string, born int64, sent time.Duration)
 }
 
 // RunnerConfig configures a Runner.
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -25,7 +25,7 @@
 )
 
 var dialect = bhforward.Dialect{
-	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Account: "Account",
+	RequestID: "Request-Id", Deadline: "Deadline", Instance: "Instance", Occupant: "Occupant", Account: "Account",
 	NotRun: "Not-Run", Leaving: "Leaving", LastEvent: "Last-Event-Id", KeyHeader: "Authorization",
 	Limit:  "Limit",
 	Parts:  func(header http.Header) []string { return strings.Fields(header.Get("Parts")) },
@@ -79,6 +79,12 @@
 	})
 }
 
+// ObserveOccupant implements PolicySource.
+func (p *fixedPolicies) ObserveOccupant(bhwatch.Instance, string, time.Duration) {}
+
+// ObserveStart implements PolicySource.
+func (p *fixedPolicies) ObserveStart(string, int64, time.Duration) {}
+
 // runnerFixture is a running Runner with a fake engine and a store in memory.
 type runnerFixture struct {
 	t        *testing.T
@@ -90,7 +96,8 @@
 	loops    sync.WaitGroup
 }
 
-func newRunnerFixture(t *testing.T, store *bhstand.Store, holder string) *runnerFixture {
+// newRunnerFixture starts a runner. The changes of its configuration are made before.
+func newRunnerFixture(t *testing.T, store *bhstand.Store, holder string, changes ...func(config *RunnerConfig)) *runnerFixture {
 	r := &runnerFixture{t: t, store: store, engine: newFakeEngine(t), policies: &fixedPolicies{}}
 	address := r.engine.server.Listener.Addr().(*net.TCPAddr).String()
 	r.policies.view = bhwatch.View{
@@ -101,7 +108,7 @@
 		Fleet: map[string][]bhwatch.Instance{"llm": {{ID: "i-1", Service: "llm", Address: address, Slots: 2}}},
 	}
 	pool := bhforward.NewPool()
-	r.runner = NewRunner(RunnerConfig{
+	config := RunnerConfig{
 		Holder:     holder,
 		Jobs:       newTestJobStore(store),
 		Policies:   r.policies,
@@ -113,7 +120,11 @@
 		Scope:      tally.NoopScope,
 		Address:    func() string { return address },
 		StaleAfter: func() time.Duration { return time.Hour },
-	})
+	}
+	for _, change := range changes {
+		change(&config)
+	}
+	r.runner = NewRunner(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
 	for _, loop := range []func(context.Context) error{r.runner.SendHeartbeats, r.runner.ClaimItems, r.runner.AdjustToLoad, r.runner.SaveCheckpoints} {
--- a/bhjob/throttle.go
+++ b/bhjob/throttle.go
@@ -48,6 +48,9 @@
 				bhlog.Problem(r.config.Logger, "engine.lost", err, "address", r.config.Address())
 			}
 		}
+		if err == nil && report.Born != 0 {
+			r.config.Policies.ObserveStart(r.config.Address(), report.Born, requestedAt)
+		}
 		if instance, listed := r.engineInstance(); err == nil && listed {
 			r.observeLimit(instance, report.Limit, sentAt)
 			r.observeCold(instance, report)
--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -18,72 +18,66 @@
 	outageAfter time.Duration
 	// newestSent is when the read of the newest list was sent.
 	newestSent time.Duration
-	// replaced holds the instances whose address a later started instance uses.
-	replaced map[string]bool
-	leaving  leavingMarks
-	versions Versions
+	// starts holds the present start of each known instance.
+	starts map[string]*start
+	// hidden holds the instances that views leave out: another one is at their address.
+	hidden map[string]bool
+	// rivals holds the known instances of named services by address, where there are several.
+	// contested holds those addresses where no process has said which one it is.
+	rivals    map[string][]Instance
+	contested map[string]bool
+	leaving   leavingMarks
+	versions  Versions
 }
 
 func newInstanceTracker(outageAfter time.Duration) instanceTracker {
-	return instanceTracker{outageAfter: outageAfter, known: make(map[string]Instance), graceEnds: make(map[string]time.Duration), leaving: make(leavingMarks)}
+	return instanceTracker{outageAfter: outageAfter, known: make(map[string]Instance), graceEnds: make(map[string]time.Duration),
+		starts: make(map[string]*start), leaving: make(leavingMarks)}
 }
 
-// update merges the listed instances, whose read was sent at the given time, and
-// returns the upstreams by service. A list is ignored if the read of a newer one
-// returned before it. The index may be nil.
-func (t *instanceTracker) update(instances []Instance, sent time.Duration, index *bhpolicy.Index, logger bhlog.Logger) map[string][]Instance {
-	if sent >= t.newestSent {
-		t.merge(instances, sent, logger)
-		t.versions = t.versions.update(t.known, sent)
+// update merges the listed instances, whose read was sent at the given time and
+// returned now, and returns the upstreams by service. A list is ignored if the read of a
+// newer one returned before it. The index may be nil.
+func (t *instanceTracker) update(instances []Instance, sent, now time.Duration, index *bhpolicy.Index, logger bhlog.Logger) map[string][]Instance {
+	newer := sent >= t.newestSent
+	if newer {
+		t.merge(instances, sent, now, logger)
+	}
+	t.resolve(index, now, logger)
+	if newer {
+		t.versions = t.versions.update(t.unrefuted(), sent)
 	}
-	t.replaced = t.findReplaced(index, logger)
 	t.leaving.prune(t.known, sent)
 	return t.fleet()
 }
 
-// fleet returns the known upstreams by service, without replaced ones. Those that
-// are marked as leaving are draining.
-func (t *instanceTracker) fleet() map[string][]Instance {
-	fleet := make(map[string][]Instance)
+// unrefuted returns the known instances that are at their address, as far as this is known.
+func (t *instanceTracker) unrefuted() map[string]Instance {
+	instances := make(map[string]Instance, len(t.known))
 	for id, instance := range t.known {
-		if !t.replaced[id] {
-			fleet[instance.Service] = append(fleet[instance.Service], t.leaving.apply(instance))
+		if t.starts[id].refuted == notRefuted {
+			instances[id] = instance
 		}
 	}
-	return fleet
+	return instances
 }
 
-// findReplaced returns the instances whose address a later started instance uses:
-// they ended without deleting their record, and it hasn't expired yet. Records of services
-// that the policy doesn't name replace none: another writer may have written them.
-func (t *instanceTracker) findReplaced(index *bhpolicy.Index, logger bhlog.Logger) map[string]bool {
-	newestByAddress := make(map[string]Instance, len(t.known))
-	for _, instance := range t.known {
-		if index != nil && !index.Names(instance.Service) {
-			continue
-		}
-		if instance.Born >= newestByAddress[instance.Address].Born {
-			newestByAddress[instance.Address] = instance
-		}
-	}
-	replaced := make(map[string]bool)
+// fleet returns the known upstreams by service, without hidden ones. Those that
+// are marked as leaving are draining.
+func (t *instanceTracker) fleet() map[string][]Instance {
+	fleet := make(map[string][]Instance)
 	for id, instance := range t.known {
-		newest := newestByAddress[instance.Address]
-		if instance.Born >= newest.Born {
-			continue
-		}
-		replaced[id] = true
-		if !t.replaced[id] {
-			bhlog.Event(logger, "upstream.replaced", "upstream", id, "address", instance.Address, "born", instance.Born, "by", newest.ID, "by_born", newest.Born)
+		if !t.hidden[id] {
+			fleet[instance.Service] = append(fleet[instance.Service], t.leaving.apply(instance))
 		}
 	}
-	return replaced
+	return fleet
 }
 
 // merge replaces the known instances by the listed ones. Missing instances are
 // removed at once, except that after an outage those that weren't draining are
 // kept for renewGrace.
-func (t *instanceTracker) merge(instances []Instance, sent time.Duration, logger bhlog.Logger) {
+func (t *instanceTracker) merge(instances []Instance, sent, now time.Duration, logger bhlog.Logger) {
 	afterOutage := t.newestSent > 0 && sent-t.newestSent > t.outageAfter
 	t.newestSent = sent
 	listed := make(map[string]bool, len(instances))
@@ -92,7 +86,8 @@
 		delete(t.graceEnds, instance.ID)
 		old, known := t.known[instance.ID]
 		instance.ColdUntil = coldUntil(old, instance, sent)
-		if old.Cold, old.ColdUntil = instance.Cold, instance.ColdUntil; !known || old != instance {
+		t.noteStart(old, instance, known, now)
+		if old.Cold, old.ColdUntil, old.Sequence = instance.Cold, instance.ColdUntil, instance.Sequence; !known || old != instance {
 			bhlog.Event(logger, "upstream.listed", "upstream", instance.ID, "service", instance.Service,
 				"address", instance.Address, "version", instance.Version, "draining", instance.Draining, "born", instance.Born)
 		}
@@ -109,6 +104,7 @@
 		if graceEnd, ok := t.graceEnds[id]; !ok || sent >= graceEnd {
 			delete(t.known, id)
 			delete(t.graceEnds, id)
+			delete(t.starts, id)
 			bhlog.Event(logger, "upstream.gone", "upstream", id)
 		}
 	}
--- a/bhwatch/view.go
+++ b/bhwatch/view.go
@@ -1,6 +1,7 @@
 package bhwatch
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 	ProvenAt time.Duration
 	// Fleet holds the upstreams by service; nil if none have been read yet.
 	Fleet map[string][]Instance
+	// Contested holds the addresses at which several upstreams are listed, and no process has said
+	// which one it is.
+	Contested map[string]bool
 	// Versions holds the software versions of the services' upstreams.
 	Versions Versions
 	// Evacuated holds the data centres whose upstreams must get no new requests.
@@ -34,21 +38,32 @@
 }
 
 // At returns the upstream at the address, of a service that the policy names, or false if
-// none is listed. If several are, it returns the one that started last.
+// none is listed. If several are, it returns a ready one if there is one, and of these the
+// one that started last.
 func (v *View) At(address string) (Instance, bool) {
-	var latest Instance
-	found := false
+	var found []Instance
 	for service, instances := range v.Fleet {
 		if v.Index != nil && !v.Index.Names(service) {
 			continue
 		}
 		for _, instance := range instances {
-			if instance.Address == address && (!found || instance.Born > latest.Born) {
-				latest, found = instance, true
+			if instance.Address == address {
+				found = append(found, instance)
 			}
 		}
 	}
-	return latest, found
+	if len(found) == 0 {
+		return Instance{}, false
+	}
+	return slices.MinFunc(found, func(a, b Instance) int {
+		if a.Draining != b.Draining {
+			if a.Draining {
+				return 1
+			}
+			return -1
+		}
+		return cmp.Or(cmp.Compare(b.Born, a.Born), cmp.Compare(a.ID, b.ID))
+	}), true
 }
 
 // Serves reports whether the view lists this start of the instance as ready.
--- a/bhwatch/watch.go
+++ b/bhwatch/watch.go
@@ -57,6 +57,8 @@
 	// Born is the start time of the process in milliseconds since the Unix epoch.
 	// It distinguishes a restarted process with the same ID.
 	Born int64
+	// Sequence counts the writes of the record since that start.
+	Sequence int64
 	// Cold is how much longer the instance is cold after its start, as its record says, and
 	// ColdUntil when it is warm by the watcher's clock; both are zero if it is warm.
 	Cold      time.Duration
@@ -157,7 +159,7 @@
 func (w *Watcher) View() View {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet, Versions: w.instances.versions, Evacuated: w.evacuations.centres, Routes: w.routes}
+	return View{Index: w.index, ProvenAt: w.provenAt, Fleet: w.fleet, Contested: w.instances.contested, Versions: w.instances.versions, Evacuated: w.evacuations.centres, Routes: w.routes}
 }
 
 // Confirm reads the policy again, with a read that is sent after the call, and
@@ -299,6 +301,6 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.fleet = w.instances.update(instances, sent, w.index, w.config.Logger)
+	w.fleet = w.instances.update(instances, sent, w.config.Clock.Now(), w.index, w.config.Logger)
 	return nil
 }
--- a/bhwatch/watch_test.go
+++ b/bhwatch/watch_test.go
@@ -293,7 +293,7 @@
 		{11 * time.Second, 2, 3 * time.Second, 14 * time.Second},
 		{12 * time.Second, 2, 0, 0},
 	} {
-		fleet := tracker.update([]Instance{{ID: "a", Service: "s", Born: c.born, Cold: c.cold}}, c.sent, nil, bhlog.Nop())
+		fleet := tracker.update([]Instance{{ID: "a", Service: "s", Born: c.born, Cold: c.cold}}, c.sent, c.sent, nil, bhlog.Nop())
 		assert.Equal(t, c.want, fleet["s"][0].ColdUntil, "at %s", c.sent)
 	}
 }
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -106,7 +106,7 @@
 	}
 }
 
-// listOdd writes an entry of another writer, which names no engine to use.
+// listOdd writes an entry of another writer with the address of an engine, which names no engine to use.
 func (w *world) listOdd(random *rand.Rand) {
 	e := w.engines[random.IntN(len(w.engines))]
 	sound, _ := e.nextEntry()
@@ -114,6 +114,9 @@
 	data, err := json.Marshal(sound)
 	require.NoError(w.t, err)
 	odd := oddEntries(string(data))
+	if random.IntN(2) == 0 {
+		odd = lyingEntries(sound)
+	}
 	key := bhplatform.Key{Table: "servers", Name: fmt.Sprint("odd-", random.IntN(oddNames))}
 	require.NoError(w.t, w.store.store.Force(key, []byte(odd[random.IntN(len(odd))])))
 }
@@ -161,3 +164,20 @@
 	change("address", `"127.0.0.1:0"`)
 	return odd
 }
+
+// lyingEntries returns entries with all fields that differ from the sound one in what they say.
+func lyingEntries(sound entry) []string {
+	draining, ahead, early := sound, sound, sound
+	draining.State = "draining"
+	ahead.Born += time.Hour.Milliseconds()
+	early.Born = 0
+	var lies []string
+	for _, lie := range []entry{sound, draining, ahead, early} {
+		data, err := json.Marshal(lie)
+		if err != nil {
+			panic(err)
+		}
+		lies = append(lies, string(data))
+	}
+	return lies
+}
