Items: the log tells why one has no result

Cause: from the logs of a run nobody could tell why an accepted item wasn't claimed, by whom it was held and since when, and what its last attempt ended with.

No logic of claims is changed.

--- a/bhjob/heartbeat.go
+++ b/bhjob/heartbeat.go
@@ -187,6 +187,18 @@
 	return h.observedAt-last.changedAt >= heartbeatTimeout
 }
 
+// age returns how long the holder's record has been unchanged at the last observation; negative if
+// the holder has none.
+func (h *heartbeats) age(holder string) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	last, ok := h.records[bhhost.HostOf(holder)]
+	if !ok || last.holder != holder {
+		return -1
+	}
+	return h.observedAt - last.changedAt
+}
+
 // expiredKeys returns the keys of records that have been unchanged for
 // deadRecordRetention.
 func (h *heartbeats) expiredKeys() []bhplatform.Key {
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -38,6 +38,9 @@
 	ending
 )
 
+// names are what logs call the phases.
+func (p phase) String() string { return [...]string{"paused", "running", "ending"}[p] }
+
 // Outcomes of a request for an item. Other errors count as interruptions.
 var (
 	errRefused = errors.New("the engine refused the item")
@@ -148,6 +151,7 @@
 		return
 	}
 	bhlog.Event(ir.runner.config.Logger, "item.released", "item", ir.item.ID, "job", ir.job.ID, "after", ir.checkpoint.LastEvent, "reason", reason)
+	ir.runner.note(ir.ref(), reason)
 	ir.stop(func() { ir.releaseClaim(false) })
 }
 
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -146,6 +146,10 @@
 	// those not to be claimed yet.
 	runs map[itemRef]*itemRun
 	held map[itemRef]heldItem
+	// lastRuns and explained are for the log: how the last runs of items ended, and when the log
+	// told why an item waits.
+	lastRuns  map[itemRef]lastRun
+	explained map[itemRef]time.Time
 	// slots is the number of requests that the engine runs at once; zero if the
 	// engine takes none.
 	slots int
@@ -189,6 +193,8 @@
 		claimSignal: make(chan struct{}, 1),
 		runs:        make(map[itemRef]*itemRun),
 		held:        make(map[itemRef]heldItem),
+		lastRuns:    make(map[itemRef]lastRun),
+		explained:   make(map[itemRef]time.Time),
 		jobs:        make(map[string]*jobList),
 	}
 }
@@ -263,6 +269,8 @@
 	r.releaseUnattended(r.jobs[part], list)
 	r.jobs[part], r.clockOffset = list, now-sent
 	r.runTimes.setOpen(jobs)
+	r.forgetFinished(part, open)
+	r.explainWaiting(jobs, now)
 	for _, run := range r.runs {
 		if partition(run.job.Account) != part || run.phase == ending {
 			continue
