Items: reads of jobs and of runners don't wait for claims

Cause: one loop read the open jobs and the other runners' records and made the claims. A claim takes up to seven calls, one after another, so that at 250 ms a call (60 times the usual, at which the store still answers) the records were read more than 3.5 s apart. Such a gap forgets what is known, so that no runner was ever dead. At 4 ms they were read every 2 s, with the partition that has the claims.

Change: three loops. Jobs are read every 500 ms, the records of other runners every second while they hold claims, and claims are made beside. A claim that is still being loaded is no claim without a run.

--- a/bhjob/heartbeat.go
+++ b/bhjob/heartbeat.go
@@ -134,6 +134,9 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if sent < h.observedAt {
+		return nil // a later read was faster
+	}
 	if sent-h.observedAt > heartbeatTimeout {
 		clear(h.records) // the other runners may not have reached the store either
 	}
--- a/bhjob/idle_claim_test.go
+++ b/bhjob/idle_claim_test.go
@@ -177,3 +177,26 @@
 	defer ir.runner.mu.Unlock()
 	ir.handleOutcome(ctx, err)
 }
+
+// TestClaimThatIsBeingLoadedIsKept guards against a claim that is returned as one without a run while
+// its item is still being loaded, so that the item runs at two engines.
+func TestClaimThatIsBeingLoadedIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := bhstand.NewStore(bhstand.StoreConfig{})
+		require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 1)))
+		runner, _ := newIdleRunner(t, store, store, "a")
+		require.NoError(t, runner.readJobs(t.Context(), partition("zoo")))
+		changed, ids, err := runner.claim(t.Context(), 1)
+		require.NoError(t, err)
+		require.Equal(t, []string{"j-0"}, ids)
+		for range 5 {
+			require.NoError(t, runner.readJobs(t.Context(), partition("zoo")))
+			synctest.Wait()
+			require.Equal(t, "a", stateOf(t, store, "j", "j-0").Holder)
+		}
+		require.NoError(t, runner.startClaimedItem(t.Context(), changed, "j-0"))
+		runner.setClaiming("")
+		require.NoError(t, runner.readJobs(t.Context(), partition("zoo")))
+		require.Equal(t, "a", stateOf(t, store, "j", "j-0").Holder)
+	})
+}
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -126,8 +126,8 @@
 }
 
 // Runner runs items on the engine of its own machine, in the slots that live
-// requests leave free. Its methods SendHeartbeats, ClaimItems, AdjustToLoad,
-// SaveCheckpoints and Sweep are loops that run concurrently.
+// requests leave free. Its methods SendHeartbeats, ObserveRunners, ReadJobs, ClaimItems,
+// AdjustToLoad, SaveCheckpoints and Sweep are loops that run concurrently.
 type Runner struct {
 	config     RunnerConfig
 	metrics    runnerMetrics
@@ -146,6 +146,9 @@
 	// those not to be claimed yet.
 	runs map[itemRef]*itemRun
 	held map[itemRef]heldItem
+	// claiming is the name of the job of which items are being claimed and loaded; empty if there
+	// is none.
+	claiming string
 	// lastRuns and explained are for the log: how the last runs of items ended, and when the log
 	// told why an item waits.
 	lastRuns  map[itemRef]lastRun
@@ -203,9 +206,10 @@
 // until ctx is done.
 func (r *Runner) SendHeartbeats(ctx context.Context) error { return r.heartbeats.sendLoop(ctx) }
 
-// ClaimItems reads the open jobs of one partition after another and claims items
-// until ctx is done.
-func (r *Runner) ClaimItems(ctx context.Context) error {
+// ReadJobs reads the open jobs of one partition after another until ctx is done. Claims don't
+// delay it: lists that are too old start nothing, and a dead runner is known by its record, which has
+// to be read again and again.
+func (r *Runner) ReadJobs(ctx context.Context) error {
 	ticker := time.NewTicker(jobsReadInterval)
 	defer ticker.Stop()
 	parts := allPartitions()
@@ -218,21 +222,20 @@
 		if i < len(parts)-1 && ctx.Err() == nil {
 			continue // the first reads of all partitions don't wait
 		}
-		if !r.claimUntilTick(ctx, ticker.C) {
+		select {
+		case <-ctx.Done():
 			return nil
+		case <-ticker.C:
 		}
 	}
 }
 
-// claimUntilTick claims items whenever slots are free, until the next tick. It
-// returns false if ctx is done.
-func (r *Runner) claimUntilTick(ctx context.Context, tick <-chan time.Time) bool {
+// ClaimItems claims items whenever slots are free, until ctx is done.
+func (r *Runner) ClaimItems(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
-			return false
-		case <-tick:
-			return true
+			return nil
 		case <-r.claimSignal:
 			pause := claimInterval
 			if err := r.claimFromJob(ctx); err != nil && ctx.Err() == nil {
@@ -240,12 +243,37 @@
 				pause = failedClaimInterval
 			}
 			if !bhtree.Sleep(ctx, pause) {
-				return false
+				return nil
 			}
 		}
 	}
 }
 
+// ObserveRunners reads the records of the other runners that hold claims on open jobs, until ctx is done.
+func (r *Runner) ObserveRunners(ctx context.Context) error {
+	for bhtree.Sleep(ctx, observeInterval) {
+		if !r.othersHoldClaims() {
+			continue
+		}
+		if err := r.heartbeats.observe(ctx, nil); err != nil && ctx.Err() == nil {
+			bhlog.Problem(r.config.Logger, "runners.unread", err)
+		}
+	}
+	return nil
+}
+
+// othersHoldClaims reports whether other runners hold claims on items of the known jobs.
+func (r *Runner) othersHoldClaims() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.jobs {
+		if len(otherHolders(list.jobs, r.config.Holder)) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // readJobs reads the open jobs of the partition, stops runs whose claims are lost
 // and expires items.
 func (r *Runner) readJobs(ctx context.Context, part string) error {
@@ -295,7 +323,7 @@
 		for i := range job.Items {
 			state := &job.Items[i]
 			ref := refOf(job, state.ID)
-			if state.Status != Claimed || state.Holder != r.config.Holder || r.runs[ref] != nil {
+			if state.Status != Claimed || state.Holder != r.config.Holder || r.runs[ref] != nil || r.claiming == jobName(job.Account, job.ID) {
 				continue
 			}
 			list.unattended[ref] = true
@@ -329,6 +357,7 @@
 		return nil
 	}
 	defer r.tasks.Done()
+	defer r.setClaiming("")
 	if err := r.heartbeats.sendIfStale(ctx); err != nil {
 		return err
 	}
@@ -345,6 +374,14 @@
 	return failure
 }
 
+// setClaiming notes of which job items are claimed from now on. Claims that have no run yet aren't
+// unattended.
+func (r *Runner) setClaiming(job string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.claiming = job
+}
+
 // beginTask counts a task, unless the runner is closed. It reports whether it did.
 func (r *Runner) beginTask() bool {
 	r.mu.Lock()
@@ -372,6 +409,7 @@
 			continue // other runners were first
 		}
 		request.Limit = min(limit, maxItemsPerClaim)
+		r.setClaiming(jobName(current.Account, current.ID))
 		changed, ids, err := r.config.Jobs.Claim(ctx, current, request)
 		if err != nil {
 			return nil, nil, err
--- a/bhjob/runner_test.go
+++ b/bhjob/runner_test.go
@@ -127,7 +127,9 @@
 	r.runner = NewRunner(config)
 	ctx, cancel := context.WithCancel(context.Background())
 	r.cancel = cancel
-	for _, loop := range []func(context.Context) error{r.runner.SendHeartbeats, r.runner.ClaimItems, r.runner.AdjustToLoad, r.runner.SaveCheckpoints} {
+	for _, loop := range []func(context.Context) error{
+		r.runner.SendHeartbeats, r.runner.ObserveRunners, r.runner.ReadJobs, r.runner.ClaimItems, r.runner.AdjustToLoad, r.runner.SaveCheckpoints,
+	} {
 		r.loops.Go(func() { _ = loop(ctx) })
 	}
 	t.Cleanup(func() {
