Items: those that cannot be loaded leave others their claims

What an installation would see (rule LOST): accepted items that nobody runs, beside some of their job whose content the store doesn't give.

Cause: the claim of an item that couldn't be loaded was returned at once, without a mark, and the same item was the next to be claimed, by every runner: two of them took all claims of their job. Nor were they ever given up, which only a loaded item was. The return was waited for, so that a store that refused it held up all claims of the runner.

Change: such an item isn't claimed here for 0.5 s, doubled with each failure up to 8 s; one whose time is over is given up without its content; its claim is returned beside.

--- a/bhjob/explain.go
+++ b/bhjob/explain.go
@@ -87,6 +87,8 @@
 		return "the engine is leaving"
 	case r.isHeld(ref):
 		return "engines ended under it"
+	case r.isUnloadable(job, ref):
+		return "it could not be loaded"
 	case !r.config.Limits.Look(bhcap.RunnersEngine, time.Now()).Granted:
 		return "the engine's limit is reached"
 	case r.freeSlots == 0:
@@ -106,6 +108,11 @@
 			delete(r.lastRuns, item)
 		}
 	}
+	for item := range r.unloadable {
+		if finished(item) {
+			delete(r.unloadable, item)
+		}
+	}
 	for item := range r.explained {
 		if finished(item) {
 			delete(r.explained, item)
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -149,6 +149,8 @@
 	// claiming is the name of the job of which items are being claimed and loaded; empty if there
 	// is none.
 	claiming string
+	// unloadable holds the items that couldn't be loaded at their last claim.
+	unloadable map[itemRef]loadFailure
 	// lastRuns and explained are for the log: how the last runs of items ended, and when the log
 	// told why an item waits.
 	lastRuns  map[itemRef]lastRun
@@ -196,6 +198,7 @@
 		claimSignal: make(chan struct{}, 1),
 		runs:        make(map[itemRef]*itemRun),
 		held:        make(map[itemRef]heldItem),
+		unloadable:  make(map[itemRef]loadFailure),
 		lastRuns:    make(map[itemRef]lastRun),
 		explained:   make(map[itemRef]time.Time),
 		jobs:        make(map[string]*jobList),
@@ -463,9 +466,7 @@
 		checkpoint, err = r.config.Jobs.LoadCheckpoint(ctx, job, id)
 	}
 	if err != nil {
-		if failure := r.releaseClaim(job, ItemRelease{ID: id}); failure != nil {
-			bhlog.Problem(r.config.Logger, "item.kept", failure, "item", id, "job", job.ID)
-		}
+		r.returnUnloaded(job, id, err)
 		return errors.Wrapf(err, "loading item %s", id)
 	}
 	loadedID := item.ID
@@ -477,6 +478,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.runs[claimedRun.ref()] = claimedRun
+	delete(r.unloadable, claimedRun.ref())
 	switch {
 	case unreadable:
 		claimedRun.recordResult(Result{ID: id, Status: Dead}, errUnreadable.Error())
