Items: a result that the store refuses for good ends with its job

What an installation would see (rule LOST): an item that an engine has finished and that is listed neither as done nor as given up, while nothing works on it.

Cause: a runner tried to store a result for ever. If the store refuses an output of more than 56 KiB, which is an object, for good (507 once it is full), the runner lives on and keeps the claim.

Change: once the item may be given up, an output that is refused is dropped and the item is listed as given up; before, and after an unknown outcome, it is tried as it was.

Evidence: TestResultThatCannotBeStoredEndsWithItsJob, no result within 30 s before, after 3 s of its job's time now. TestResultIsListedOnceTheStoreTakesIt passes before and after.

--- a/bhjob/outcome.go
+++ b/bhjob/outcome.go
@@ -106,25 +106,43 @@
 	ir.releaseClaim(true)
 }
 
-// recordResult records the result, and retries while the store fails.
+// recordResult records the result, and retries while the store fails. An output that the store
+// still refuses when the item may be given up is dropped: it may refuse it for good.
 func (ir *itemRun) recordResult(result Result, reason string) {
 	ir.finish(func(ctx context.Context) error {
 		for pause := storeRetryMin; ; pause = min(2*pause, storeRetryMax) {
-			recorded, err := ir.runner.config.Jobs.RecordResult(ctx, ir.runner.newestRecord(ctx, ir.job), ir.runner.config.Holder, result)
-			if err == nil {
-				ir.runner.metrics.countResult(result.Status)
-				bhlog.Event(ir.runner.config.Logger, "item.ended", "item", ir.item.ID, "job", ir.job.ID, "status", result.Status, "reason", reason, "listed", recorded)
-				return nil
-			}
-			if bhcode.Is(err, bhcode.NotFound) {
+			err := ir.tryRecord(ctx, result, reason)
+			if err == nil || bhcode.Is(err, bhcode.NotFound) {
 				return err
 			}
 			bhlog.Problem(ir.runner.config.Logger, "item.unlisted", err, "item", ir.item.ID, "job", ir.job.ID, "pause", pause)
+			if result.Status == Completed && bhcode.Is(err, bhcode.PlatformUnavailable) && ir.mayBeGivenUp() &&
+				ir.tryRecord(ctx, Result{ID: result.ID, Status: Dead}, "its output was not stored in time") == nil {
+				return nil
+			}
 			time.Sleep(pause)
 		}
 	})
 }
 
+// tryRecord makes one attempt to record the result.
+func (ir *itemRun) tryRecord(ctx context.Context, result Result, reason string) error {
+	recorded, err := ir.runner.config.Jobs.RecordResult(ctx, ir.runner.newestRecord(ctx, ir.job), ir.runner.config.Holder, result)
+	if err != nil {
+		return err
+	}
+	ir.runner.metrics.countResult(result.Status)
+	bhlog.Event(ir.runner.config.Logger, "item.ended", "item", ir.item.ID, "job", ir.job.ID, "status", result.Status, "reason", reason, "listed", recorded)
+	return nil
+}
+
+// mayBeGivenUp reports whether the time is over until which the item's job keeps its items.
+func (ir *itemRun) mayBeGivenUp() bool {
+	ir.runner.mu.Lock()
+	defer ir.runner.mu.Unlock()
+	return ir.runner.expired(ir.job)
+}
+
 // finish executes the last step of the run in a goroutine and then removes the
 // run. If the step fails, the next read of the jobs finds a claim without a
 // run, which can be claimed again.
