Jobs: a test that the largest one fits its record

Cause: whether a job's record can outgrow the store's 64 KiB as its items are claimed was only read. Result: with 200 items of the longest IDs, names of holders of 64 bytes and checkpoints of others it doesn't; the test passes on the code before, too.

--- a/bhjob/validate_test.go
+++ b/bhjob/validate_test.go
@@ -1,6 +1,7 @@
 package bhjob
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -170,3 +171,24 @@
 	assert.Equal(t, map[string]Status{"j-0": Dead, "j-1": Completed}, states)
 	assert.Len(t, r.engine.requestHeaders(), 1)
 }
+
+// TestLargestJobFitsItsRecord guards against a job whose record outgrows the store's limit as its items
+// are claimed, so that no claim and no result of it is ever stored.
+func TestLargestJobFitsItsRecord(t *testing.T) {
+	const rowBytes = 64 << 10
+	id := strings.Repeat("i", maxItemNameBytes-len("zoo/j/")-3)
+	submission := sampleJob("j", maxItems)
+	for i := range submission.Items {
+		submission.Items[i].ID = fmt.Sprintf("%s%03d", id, i)
+		submission.Items[i].Tokens = 1 << 40
+	}
+	submission.Route, submission.Host = strings.Repeat("r", 200), strings.Repeat("h", 250)
+	require.NoError(t, submission.Validate())
+	job, _ := submission.newJob(1000 * time.Hour)
+	for i := range job.Items {
+		job.Items[i].Status, job.Items[i].Holder, job.Items[i].SavedBy, job.Items[i].Failures = Claimed, strings.Repeat("a", maxHolderBytes), strings.Repeat("b", maxHolderBytes), 100
+	}
+	data, err := encode(job)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(data), rowBytes)
+}
