--- a/soak/client_test.go
+++ b/soak/client_test.go
@@ -188,6 +188,11 @@
 	c.world.record.mu.Lock()
 	c.world.accepted++
 	c.world.record.mu.Unlock()
+	var names []string
+	for _, item := range items {
+		names = append(names, item["id"].(string))
+	}
+	c.world.record.work.accept(id, tenant, names)
 	if end {
 		c.end(ctx, id, tenant)
 		return
--- a/soak/crash_test.go
+++ b/soak/crash_test.go
@@ -270,6 +270,7 @@
 	if err != nil || !c.submit(ctx, id, tenant, string(body)) {
 		return
 	}
+	c.world.record.work.accept(id, tenant, itemsThatRun(id, bodies))
 	var known []result
 	for ctx.Err() == nil && len(known) < len(bodies)-1 {
 		status, _, answer, whole := c.do(http.MethodGet, c.world.gateway(c.random), "/lots/"+id+"?after=0", id, c.world.key(tenant), "")
--- a/soak/engine_test.go
+++ b/soak/engine_test.go
@@ -124,6 +124,9 @@
 	}
 	defer e.release()
 	e.record.ran(id, e.id, start, r, string(body))
+	if strings.HasPrefix(r.URL.Path, "/jobs/") {
+		defer e.record.work.begin(id)()
+	}
 	if name, lethal := isLethal(r, string(body)); lethal {
 		time.Sleep(plainTime)
 		e.crash(name)
@@ -173,6 +176,7 @@
 		e.stream(w, r, liveEvents/2, resets)
 	case strings.HasPrefix(body, "fail"), e.failsItem(r):
 		e.record.failed(id)
+		e.record.work.fail(id)
 		e.write(w, r, http.StatusInternalServerError, "")
 	case strings.HasPrefix(r.URL.Path, "/safe/"), strings.HasPrefix(r.URL.Path, "/unsafe/"):
 		time.Sleep(plainTime)
--- a/soak/recorder_test.go
+++ b/soak/recorder_test.go
@@ -77,6 +77,8 @@
 	cutsReused int
 	// late holds the requests to a gateway that stops in calm.
 	late []*lateRequest
+	// work is what engines did for the items of jobs.
+	work *work
 }
 
 func newRecorder() *recorder {
@@ -85,7 +87,7 @@
 		revoked: make(map[string]time.Time), ended: make(map[string]time.Time), left: make(map[[2]string]time.Time),
 		crashes: make(map[string]*lethalRecord), disturbed: make(map[string][]span),
 		failures: make(map[string]int), oddities: make(map[string][]string), cuts: make(map[string]int),
-		limits: make(map[string]*limitRecord), interrupted: make(map[string][]span),
+		limits: make(map[string]*limitRecord), interrupted: make(map[string][]span), work: newWork(),
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -156,7 +156,7 @@
 // newOutside starts the store and the engines.
 func newOutside(t *testing.T, seed uint64, engines int) *world {
 	w := &world{t: t, record: newRecorder(), store: newStoreServer(seed), drained: make(map[string]bool),
-		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}}}
+		keys: map[string][]string{"zoo": {"zoo-0"}, "small": {"small-0"}, floodTenant: {floodTenant + "-0"}}}
 	server := httptest.NewServer(w.store)
 	t.Cleanup(server.Close)
 	w.address, w.ports = server.Listener.Addr().String(), freePorts(t, portCount)
@@ -241,6 +241,7 @@
 	jobs.Go(func() { prompts.sendLethalPrompts(lethal, "zoo") })
 	jobs.Go(func() { w.evacuate(ctx, rand.New(rand.NewPCG(seed, 3))) })
 	jobs.Go(func() { w.disrupt(ctx, rand.New(rand.NewPCG(seed, 4))) })
+	jobs.Go(func() { w.floodJobs(ctx, rand.New(rand.NewPCG(seed, 7))) })
 	jobs.Go(func() { w.spoil(ctx, rand.New(rand.NewPCG(seed, 5))) })
 	w.trouble(ctx, rand.New(rand.NewPCG(seed, 1)))
 	clients.Wait()
@@ -249,6 +250,7 @@
 		w.spoilInCalm(all, seed)
 		w.stopInCalm(all, rand.New(rand.NewPCG(seed, 6)))
 	})
+	jobs.Go(func() { w.judgeLying(all) })
 	w.recover(seed)
 	w.checkPrompts(all)
 	stopLethal()
--- a/soak/stream_test.go
+++ b/soak/stream_test.go
@@ -102,6 +102,9 @@
 		}
 	}
 	if how == none {
+		if strings.HasPrefix(r.URL.Path, "/jobs/") {
+			e.record.work.finish()
+		}
 		e.stutter(w, r, http.StatusOK, body.String())
 	}
 	if how != none {
