--- a/bhjob/validate_test.go
+++ b/bhjob/validate_test.go
@@ -175,7 +175,6 @@
 // TestLargestJobFitsItsRecord guards against a job whose record outgrows the store's limit as its items
 // are claimed, so that no claim and no result of it is ever stored.
 func TestLargestJobFitsItsRecord(t *testing.T) {
-	const rowBytes = 64 << 10
 	id := strings.Repeat("i", maxItemNameBytes-len("zoo/j/")-3)
 	submission := sampleJob("j", maxItems)
 	for i := range submission.Items {
@@ -190,5 +189,5 @@
 	}
 	data, err := encode(job)
 	require.NoError(t, err)
-	assert.LessOrEqual(t, len(data), rowBytes)
+	assert.LessOrEqual(t, len(data), bhplatform.MaxValueBytes)
 }
--- a/bhplatform/store.go
+++ b/bhplatform/store.go
@@ -12,6 +12,14 @@
 // stores take.
 const MaxNameBytes = 200
 
+// Limits of what stores take: the bytes of a record's value, and the conditions, puts and deletes of a
+// transaction and the bytes of their values in base64.
+const (
+	MaxValueBytes       = 64 << 10
+	MaxTransactionParts = 100
+	MaxTransactionBytes = 1 << 20
+)
+
 // Key identifies a record by its table, its partition of the table, and its name
 // within the partition.
 type Key struct {
--- a/bhstand/store.go
+++ b/bhstand/store.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/base64"
 	"io"
 	"maps"
 	"slices"
@@ -17,6 +18,9 @@
 // storePage is the most records that a Store returns at once.
 const storePage = 500
 
+// pageBytes is the most bytes of values in base64 that a Store returns at once, but for a single one.
+const pageBytes = 1 << 20
+
 // Fault is what a Store does with one call.
 type Fault int
 
@@ -102,8 +106,13 @@
 		limit = min(limit, scan.Limit)
 	}
 	page := bhplatform.Page{Version: s.version, Now: s.now(), More: len(names) > limit}
+	size := 0
 	for _, name := range names[:min(limit, len(names))] {
 		record := s.records[bhplatform.Key{Table: scan.Table, Partition: scan.Partition, Name: name}]
+		if size += base64.StdEncoding.EncodedLen(len(record.Value)); size > pageBytes && len(page.Records) > 0 {
+			page.More = true
+			break
+		}
 		record.Value = bytes.Clone(record.Value)
 		page.Records = append(page.Records, record)
 	}
@@ -150,6 +159,9 @@
 	if err := shortNames(transaction); err != nil {
 		return bhplatform.Receipt{}, err
 	}
+	if err := withinLimits(transaction); err != nil {
+		return bhplatform.Receipt{}, err
+	}
 	conflict := &bhplatform.ConflictError{Now: s.now()}
 	held := true
 	for _, condition := range transaction.Conditions {
@@ -191,6 +203,24 @@
 	return nil
 }
 
+// withinLimits refuses transactions that are too large.
+func withinLimits(transaction bhplatform.Transaction) error {
+	if parts := len(transaction.Conditions) + len(transaction.Puts) + len(transaction.Deletes); parts > bhplatform.MaxTransactionParts {
+		return bhcode.New(bhcode.PlatformUnavailable, "the transaction has %d parts of at most %d", parts, bhplatform.MaxTransactionParts)
+	}
+	size := 0
+	for _, put := range transaction.Puts {
+		if len(put.Value) > bhplatform.MaxValueBytes {
+			return bhcode.New(bhcode.PlatformUnavailable, "the value of %q has %d bytes of at most %d", put.Key.Name, len(put.Value), bhplatform.MaxValueBytes)
+		}
+		size += base64.StdEncoding.EncodedLen(len(put.Value))
+	}
+	if size > bhplatform.MaxTransactionBytes {
+		return bhcode.New(bhcode.PlatformUnavailable, "the transaction has %d bytes of at most %d", size, bhplatform.MaxTransactionBytes)
+	}
+	return nil
+}
+
 // shortNames refuses transactions with names that are too long.
 func shortNames(transaction bhplatform.Transaction) error {
 	keys := slices.Clone(transaction.Deletes)
