--- a/bhjob/engine_test.go
+++ b/bhjob/engine_test.go
@@ -98,13 +98,9 @@
 	e.mu.Lock()
 	e.requests = append(e.requests, r.Header.Clone())
 	interval, events, status, abortAfter := e.eventInterval, e.eventCount, e.status, e.abortAfter
-	if e.limit != "" {
-		w.Header().Set(dialect.Limit, e.limit)
-	}
-	if e.leaving {
-		w.Header().Set(dialect.Leaving, "1")
+	if e.introduce(w, r) {
+		status = http.StatusMisdirectedRequest
 	}
-	id := e.id
 	next, onEnd, ends := e.next, e.onEnd, e.isLethal(r)
 	e.abortAfter, e.next = 0, nil
 	repeat, fails := e.fail(r)
@@ -129,11 +125,6 @@
 		return
 	}
 	w.Header().Set(dialect.RequestID, r.Header.Get(dialect.RequestID))
-	if id != "" && r.Header.Get(dialect.Instance) != id {
-		w.Header().Set(dialect.Occupant, id)
-		w.WriteHeader(http.StatusMisdirectedRequest)
-		return
-	}
 	if status != http.StatusOK {
 		w.WriteHeader(status)
 		return
@@ -157,6 +148,21 @@
 	}
 }
 
+// introduce writes what the engine says of itself, and reports whether the request is for another
+// one. The caller holds e.mu.
+func (e *fakeEngine) introduce(w http.ResponseWriter, r *http.Request) (misdirected bool) {
+	if e.limit != "" {
+		w.Header().Set(dialect.Limit, e.limit)
+	}
+	if e.leaving {
+		w.Header().Set(dialect.Leaving, "1")
+	}
+	if misdirected = e.id != "" && r.Header.Get(dialect.Instance) != e.id; misdirected {
+		w.Header().Set(dialect.Occupant, e.id)
+	}
+	return misdirected
+}
+
 // fail reports whether the engine fails the request. It returns a function that writes an
 // earlier failure on the request's connection once more, if one waits for that. The caller holds
 // e.mu.
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -115,6 +115,9 @@
 		ir.runner.mu.Lock()
 		defer ir.runner.mu.Unlock()
 		ir.runTime += time.Since(ir.startedAt)
+		if err != nil && ir.onStopped == nil {
+			ir.runner.note(ir.ref(), err.Error())
+		}
 		ir.handleOutcome(ctx, err)
 	})
 }
--- a/bhjob/outcome.go
+++ b/bhjob/outcome.go
@@ -30,9 +30,6 @@
 // after the complete output.
 func (ir *itemRun) handleOutcome(ctx context.Context, err error) {
 	var limited *limitedError
-	if err != nil && ir.onStopped == nil {
-		ir.runner.note(ir.ref(), err.Error())
-	}
 	switch {
 	case ir.onStopped != nil && err != nil:
 		ir.phase = paused
--- a/bhjob/takeover_test.go
+++ b/bhjob/takeover_test.go
@@ -13,7 +13,7 @@
 	"github.com/baobabhaven/baobabhaven/bhstand"
 )
 
-// finishTime is how long after the last request installations allow for what was accepted.
+// finishTime is how long after the last request what was accepted must be done.
 const finishTime = 18 * time.Second
 
 // TestClaimsOfADeadRunnerAreTakenOverWhileTheStoreIsSlow guards against items whose runner is gone and
--- a/bhjson/decode.go
+++ b/bhjson/decode.go
@@ -14,7 +14,7 @@
 	if decoder.PeekKind() == jsontext.KindNull {
 		return errors.New("null in place of a value")
 	}
-	return stderrors.ErrUnsupported // has the value decoded as without this function
+	return stderrors.ErrUnsupported // the default decoding follows
 }))
 
 // Decode decodes data, one JSON value as Validate requires it, into what value points to. Unlike
