Upstreams: an entry that comes and goes stays refuted

Cause: what was known of an entry was forgotten with it, so that one that was odd for a heartbeat, or removed and written again, hid the worker each time that it was back, until the next request to it. Change: starts are remembered for 10 minutes after they were last listed, and as long as the instance is known.

Evidence: TestEntryThatComesAndGoesStaysRefuted; TestInstancesThatLapsedInALongOutageAreKept ends in a panic if starts of known instances are forgotten, too.

--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -48,6 +48,7 @@
 		t.versions = t.versions.update(t.unrefuted(), sent)
 	}
 	t.leaving.prune(t.known, sent)
+	t.forgetStarts(now)
 	return t.fleet()
 }
 
@@ -86,7 +87,7 @@
 		delete(t.graceEnds, instance.ID)
 		old, known := t.known[instance.ID]
 		instance.ColdUntil = coldUntil(old, instance, sent)
-		t.noteStart(old, instance, known, now)
+		t.noteStart(old, instance, now)
 		if old.Cold, old.ColdUntil, old.Sequence = instance.Cold, instance.ColdUntil, instance.Sequence; !known || old != instance {
 			bhlog.Event(logger, "upstream.listed", "upstream", instance.ID, "service", instance.Service,
 				"address", instance.Address, "version", instance.Version, "draining", instance.Draining, "born", instance.Born)
@@ -104,7 +105,6 @@
 		if graceEnd, ok := t.graceEnds[id]; !ok || sent >= graceEnd {
 			delete(t.known, id)
 			delete(t.graceEnds, id)
-			delete(t.starts, id)
 			bhlog.Event(logger, "upstream.gone", "upstream", id)
 		}
 	}
--- a/bhwatch/occupants.go
+++ b/bhwatch/occupants.go
@@ -1,6 +1,7 @@
 package bhwatch
 
 import (
+	"maps"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -11,6 +12,10 @@
 // is listed at its address. Then it is tried again: the refutation may have been a fault.
 const refutedExclusion = 5 * time.Second
 
+// startMemory is how long a start is remembered whose record is gone, or odd. A record that comes
+// and goes stays refuted.
+const startMemory = 10 * time.Minute
+
 // refutation is what shows that the process at an address isn't the instance whose record names
 // the address. Later ones are stronger.
 type refutation int
@@ -38,6 +43,9 @@
 
 // start is what is known of a start of a listed instance. Times are of the watcher's clock.
 type start struct {
+	born, sequence int64
+	// seenAt is when the start was last listed.
+	seenAt time.Duration
 	// listedAt is when the start was first listed, changedAt when its record was last seen to
 	// differ, and changedBefore when it was the time before. The latter two are zero if it wasn't.
 	listedAt, changedAt, changedBefore time.Duration
@@ -49,7 +57,7 @@
 
 // newStart returns a start that is listed for the first time.
 func newStart(instance Instance, now time.Duration) *start {
-	return &start{listedAt: now, wasReady: !instance.Draining}
+	return &start{born: instance.Born, listedAt: now, wasReady: !instance.Draining}
 }
 
 // change notes that the record differs from before. A rival's heartbeats then show nothing.
@@ -68,15 +76,26 @@
 }
 
 // noteStart keeps what is known of the instance's present start. The old one is what the list
-// had before, if it was known.
-func (t *instanceTracker) noteStart(old, listed Instance, known bool, now time.Duration) {
+// had before, if anything.
+func (t *instanceTracker) noteStart(old, listed Instance, now time.Duration) {
 	old.ColdUntil = listed.ColdUntil
+	known := t.starts[listed.ID]
 	switch {
-	case !known || old.Born != listed.Born || listed.Born == 0 && listed.Sequence < old.Sequence:
-		t.starts[listed.ID] = newStart(listed, now)
+	case known == nil || known.born != listed.Born || listed.Born == 0 && listed.Sequence < known.sequence:
+		known = newStart(listed, now)
+		t.starts[listed.ID] = known
 	case old != listed:
-		t.starts[listed.ID].change(listed, now)
+		known.change(listed, now)
 	}
+	known.seenAt, known.sequence = now, listed.Sequence
+}
+
+// forgetStarts forgets the starts that were last listed long ago, but for those of known instances.
+func (t *instanceTracker) forgetStarts(now time.Duration) {
+	maps.DeleteFunc(t.starts, func(id string, known *start) bool {
+		_, isKnown := t.known[id]
+		return !isKnown && now-known.seenAt > startMemory
+	})
 }
 
 // resolve decides which of the known instances are hidden: of several at one address, those that
--- a/bhwatch/occupants_test.go
+++ b/bhwatch/occupants_test.go
@@ -245,10 +245,44 @@
 	})
 }
 
-func TestStartsAreForgottenWithTheirRecords(t *testing.T) {
+// TestEntryThatComesAndGoesStaysRefuted guards against an entry that is odd for a while, or removed,
+// and hides the worker again each time that it is back.
+func TestEntryThatComesAndGoesStaysRefuted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, source, _ := contest(t, Instance{ID: "lie", Born: 200})
+		var lie Instance
+		source.update(func(s *fakeSource) { lie = s.instances[1] })
+		w.ObserveOccupant(lie, "worker", w.config.Clock.Now())
+		for range 5 {
+			source.update(func(s *fakeSource) { s.instances = s.instances[:1] })
+			time.Sleep(2 * time.Second)
+			source.update(func(s *fakeSource) { s.instances = append(s.instances[:1:1], lie) })
+			for range 20 {
+				assert.Equal(t, []string{"worker"}, fleetIDs(w))
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+	})
+}
+
+func TestStartsAreForgottenAfterTheirRecords(t *testing.T) {
 	tracker := newInstanceTracker(time.Hour)
 	tracker.update([]Instance{{ID: "a", Service: "s", Born: 1}}, 1, 1, nil, bhlog.Nop())
-	assert.Len(t, tracker.starts, 1)
 	tracker.update(nil, 2, 2, nil, bhlog.Nop())
+	assert.Len(t, tracker.starts, 1)
+	tracker.update(nil, 3+startMemory, 3+startMemory, nil, bhlog.Nop())
 	assert.Empty(t, tracker.starts)
 }
+
+// TestInstancesThatLapsedInALongOutageAreKept guards against a process that ends because it has
+// forgotten the start of an instance that it still knows.
+func TestInstancesThatLapsedInALongOutageAreKept(t *testing.T) {
+	const outage = 2 * startMemory
+	tracker := newInstanceTracker(time.Second)
+	instances := []Instance{{ID: "a", Service: "s", Born: 1}, {ID: "b", Service: "s", Born: 1}}
+	tracker.update(instances, 1, 1, nil, bhlog.Nop())
+	for _, since := range []time.Duration{0, time.Second} {
+		fleet := tracker.update(instances[:1], outage+since, outage+since, nil, bhlog.Nop())
+		assert.ElementsMatch(t, []string{"a", "b"}, instanceIDs(fleet["s"]))
+	}
+}
