--- a/bhjob/loops.go
+++ b/bhjob/loops.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhlog"
@@ -68,8 +69,9 @@
 func (r *Runner) othersHoldClaims() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	held := func(state ItemState) bool { return state.Status == Claimed && state.Holder != r.config.Holder }
 	for _, list := range r.jobs {
-		if len(otherHolders(list.jobs, r.config.Holder)) > 0 {
+		if slices.ContainsFunc(list.jobs, func(job *Job) bool { return slices.ContainsFunc(job.Items, held) }) {
 			return true
 		}
 	}
