--- a/soak/store_test.go
+++ b/soak/store_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcode"
@@ -37,6 +38,9 @@
 type storeServer struct {
 	store *bhstand.Store
 
+	// latency is added to each call, in nanoseconds.
+	latency atomic.Int64
+
 	mu     sync.Mutex
 	random *rand.Rand
 	// trouble is what becomes of a part of the calls of the processes.
@@ -84,6 +88,7 @@
 	if err != nil {
 		return
 	}
+	time.Sleep(time.Duration(s.latency.Load()))
 	switch r.URL.Path {
 	case "/rows-get":
 		s.get(w, r)
