--- a/bhjob/choose.go
+++ b/bhjob/choose.go
@@ -93,8 +93,8 @@
 }
 
 // claimHeld reports whether this runner may not claim the item yet: engines ended under
-// it, it couldn't be loaded, or an earlier run of it here hasn't ended. Until then a write of that run may be
-// repeated, which would take the new claim for its own. The caller holds r.mu.
+// it, it couldn't be loaded, or an earlier run of it here hasn't ended. Until that run ends,
+// its writes may be repeated, which would take the new claim for their own. The caller holds r.mu.
 func (r *Runner) claimHeld(job *Job, state *ItemState) bool {
 	ref := refOf(job, state.ID)
 	return r.runs[ref] != nil || r.isHeld(ref) || r.isUnloadable(job, ref)
--- a/bhjob/occupant_test.go
+++ b/bhjob/occupant_test.go
@@ -77,11 +77,11 @@
 	return r, watcher
 }
 
-// TestEntryThatLiesLeavesNoItemLying guards against accepted items that no engine runs, since an
+// TestConflictingEntryLeavesNoItemStuck guards against accepted items that no engine runs, since an
 // entry of another writer has the address of their engine and a later start.
-func TestEntryThatLiesLeavesNoItemLying(t *testing.T) {
+func TestConflictingEntryLeavesNoItemStuck(t *testing.T) {
 	for name, c := range map[string]struct {
-		lie     bhwatch.Instance
+		other   bhwatch.Instance
 		reports bool
 	}{
 		"ready, and the engine reports its start":    {bhwatch.Instance{Born: 200}, true},
@@ -93,12 +93,12 @@
 		t.Run(name, func(t *testing.T) {
 			store := bhstand.NewStore(bhstand.StoreConfig{})
 			r, _ := newListedRunner(t, store, c.reports, func(engine bhwatch.Instance) []bhwatch.Instance {
-				lie := engine
-				lie.ID, lie.Born, lie.Draining = "lie", c.lie.Born, c.lie.Draining
-				if c.lie.ID != "" {
-					lie.ID = c.lie.ID
+				other := engine
+				other.ID, other.Born, other.Draining = "other", c.other.Born, c.other.Draining
+				if c.other.ID != "" {
+					other.ID = c.other.ID
 				}
-				return []bhwatch.Instance{engine, lie}
+				return []bhwatch.Instance{engine, other}
 			})
 			require.NoError(t, newTestJobStore(store).Submit(t.Context(), sampleJob("j", 6)))
 			for _, result := range r.waitResults("j", 6) {
--- a/bhwatch/instances.go
+++ b/bhwatch/instances.go
@@ -22,9 +22,9 @@
 	starts map[string]*start
 	// hidden holds the instances that views leave out: another one is at their address.
 	hidden map[string]bool
-	// rivals holds the known instances of named services by address, where there are several.
+	// sharing holds the known instances of named services by address, where there are several.
 	// contested holds those addresses where no process has said which one it is.
-	rivals    map[string][]Instance
+	sharing   map[string][]Instance
 	contested map[string]bool
 	leaving   leavingMarks
 	versions  Versions
--- a/bhwatch/occupants.go
+++ b/bhwatch/occupants.go
@@ -22,10 +22,10 @@
 
 const (
 	notRefuted refutation = iota
-	// refutedByRival means that the record of another instance at the address changed at two
+	// refutedByHeartbeats means that the record of another instance at the address changed at two
 	// heartbeats in a row at which that of the instance didn't. A single change may be a write
 	// that the store carried out after its writer's end.
-	refutedByRival
+	refutedByHeartbeats
 	// refutedByOccupant means that the process said in an answer that it is another instance.
 	refutedByOccupant
 )
@@ -33,7 +33,7 @@
 // names are what logs call the refutations.
 func (r refutation) String() string {
 	switch r {
-	case refutedByRival:
+	case refutedByHeartbeats:
 		return "heartbeats"
 	case refutedByOccupant:
 		return "answer"
@@ -60,18 +60,18 @@
 	return &start{born: instance.Born, listedAt: now, wasReady: !instance.Draining}
 }
 
-// change notes that the record differs from before. A rival's heartbeats then show nothing.
+// change notes that the record differs from before, so that the heartbeats of others show nothing.
 func (s *start) change(instance Instance, now time.Duration) {
 	s.changedAt, s.changedBefore = now, s.changedAt
 	s.wasReady = s.wasReady || !instance.Draining
-	if s.refuted == refutedByRival {
+	if s.refuted == refutedByHeartbeats {
 		s.refuted = notRefuted
 	}
 }
 
-// outlives reports whether the record changed twice since that of the other start last did, or was
-// first listed.
-func (s *start) outlives(other *start) bool {
+// changedTwiceSince reports whether the record changed twice since that of the other start last
+// did, or was first listed.
+func (s *start) changedTwiceSince(other *start) bool {
 	return s.changedBefore > max(other.listedAt, other.changedAt)
 }
 
@@ -102,7 +102,7 @@
 // an unrefuted one replaces, and refuted ones. An instance whose service the policy doesn't
 // name replaces none: another writer may have written its record. The index may be nil.
 func (t *instanceTracker) resolve(index *bhpolicy.Index, now time.Duration, logger bhlog.Logger) {
-	t.rivals, t.contested = make(map[string][]Instance), make(map[string]bool)
+	t.sharing, t.contested = make(map[string][]Instance), make(map[string]bool)
 	byAddress := make(map[string][]Instance, len(t.known))
 	for _, instance := range t.known {
 		byAddress[instance.Address] = append(byAddress[instance.Address], instance)
@@ -116,8 +116,8 @@
 			}
 		}
 		if len(named) > 1 {
-			t.rivals[address] = named
-			t.refuteOutlived(named, now, logger)
+			t.sharing[address] = named
+			t.refuteStale(named, now, logger)
 			t.contested[address] = t.countPossible(named) > 1
 		}
 		t.hide(hidden, instances, named, now, logger)
@@ -165,16 +165,16 @@
 	return count
 }
 
-// refuteOutlived refutes those of the instances at one address whose records stand still while
+// refuteStale refutes those of the instances at one address whose records stand still while
 // that of an unrefuted one goes on changing.
-func (t *instanceTracker) refuteOutlived(instances []Instance, now time.Duration, logger bhlog.Logger) {
-	for _, rival := range instances {
-		if t.starts[rival.ID].refuted != notRefuted {
+func (t *instanceTracker) refuteStale(instances []Instance, now time.Duration, logger bhlog.Logger) {
+	for _, other := range instances {
+		if t.starts[other.ID].refuted != notRefuted {
 			continue
 		}
 		for _, instance := range instances {
-			if t.starts[rival.ID].outlives(t.starts[instance.ID]) {
-				t.refute(instance, refutedByRival, rival.ID, now, logger)
+			if t.starts[other.ID].changedTwiceSince(t.starts[instance.ID]) {
+				t.refute(instance, refutedByHeartbeats, other.ID, now, logger)
 			}
 		}
 	}
@@ -213,7 +213,7 @@
 // there.
 func (t *instanceTracker) observeStart(address string, born int64, sent, now time.Duration, logger bhlog.Logger) bool {
 	var occupant string
-	for _, instance := range t.rivals[address] {
+	for _, instance := range t.sharing[address] {
 		if instance.Born == born {
 			occupant = instance.ID
 		}
@@ -222,7 +222,7 @@
 		return false
 	}
 	changed := false
-	for _, instance := range t.rivals[address] {
+	for _, instance := range t.sharing[address] {
 		known := t.starts[instance.ID]
 		if instance.Born != born && known.listedAt <= sent && known.refuted != refutedByOccupant {
 			t.refute(instance, refutedByOccupant, occupant, now, logger)
--- a/bhwatch/occupants_test.go
+++ b/bhwatch/occupants_test.go
@@ -71,21 +71,21 @@
 	return instance.ID
 }
 
-// TestEntryThatLiesHidesNoWorkerForLong guards against an entry with the address of a worker and a
+// TestConflictingEntryHidesNoWorkerForLong guards against an entry with the address of a worker and a
 // later start that hides the worker for good, whatever it says and whether requests are sent or not.
-func TestEntryThatLiesHidesNoWorkerForLong(t *testing.T) {
-	for name, lie := range map[string]Instance{
-		"ready":             {ID: "lie", Born: 200},
-		"draining":          {ID: "lie", Born: 200, Draining: true},
-		"the same start":    {ID: "lie", Born: 100},
-		"hours ahead":       {ID: "lie", Born: 1 << 50},
-		"without a start":   {ID: "lie"},
-		"with its own data": {ID: "lie", Born: 200, Version: "v9", Slots: 1 << 20},
+func TestConflictingEntryHidesNoWorkerForLong(t *testing.T) {
+	for name, other := range map[string]Instance{
+		"ready":             {ID: "other", Born: 200},
+		"draining":          {ID: "other", Born: 200, Draining: true},
+		"the same start":    {ID: "other", Born: 100},
+		"hours ahead":       {ID: "other", Born: 1 << 50},
+		"without a start":   {ID: "other"},
+		"with its own data": {ID: "other", Born: 200, Version: "v9", Slots: 1 << 20},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Run("no request is sent", func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w, _, _ := contest(t, lie)
+					w, _, _ := contest(t, other)
 					time.Sleep(4 * time.Second)
 					for range 100 {
 						assert.Equal(t, []string{"worker"}, fleetIDs(w))
@@ -96,9 +96,9 @@
 			})
 			t.Run("the worker answers", func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w, source, worker := contest(t, lie)
-					source.update(func(s *fakeSource) { lie = s.instances[1] })
-					w.ObserveOccupant(lie, "worker", w.config.Clock.Now())
+					w, source, worker := contest(t, other)
+					source.update(func(s *fakeSource) { other = s.instances[1] })
+					w.ObserveOccupant(other, "worker", w.config.Clock.Now())
 					for range 100 {
 						assert.Equal(t, []string{"worker"}, fleetIDs(w))
 						assert.False(t, w.View().Contested[occupiedAddress])
@@ -109,12 +109,12 @@
 			})
 			t.Run("the worker reports its start", func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					w, _, _ := contest(t, lie)
+					w, _, _ := contest(t, other)
 					w.ObserveStart(occupiedAddress, 100, w.config.Clock.Now())
-					if lie.Born != 100 {
+					if other.Born != 100 {
 						assert.Equal(t, []string{"worker"}, fleetIDs(w))
 					}
-					assert.Equal(t, lie.Born == 100 && !lie.Draining, len(fleetIDs(w)) == 2)
+					assert.Equal(t, other.Born == 100 && !other.Draining, len(fleetIDs(w)) == 2)
 				})
 			})
 		})
@@ -122,11 +122,11 @@
 }
 
 // TestDrainingEntryReplacesNoInstance guards against a worker that is lost to a draining entry, to
-// which nobody sends a request that would show the lie.
+// which nobody sends a request that would show the other.
 func TestDrainingEntryReplacesNoInstance(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, _, _ := contest(t, Instance{ID: "lie", Born: 200, Draining: true})
-		assert.ElementsMatch(t, []string{"worker", "lie"}, fleetIDs(w))
+		w, _, _ := contest(t, Instance{ID: "other", Born: 200, Draining: true})
+		assert.ElementsMatch(t, []string{"worker", "other"}, fleetIDs(w))
 		assert.Equal(t, "worker", occupantOf(w))
 	})
 }
@@ -189,11 +189,11 @@
 	})
 	t.Run("another one is listed", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			w, _, worker := contest(t, Instance{ID: "lie", Born: 200})
-			w.ObserveOccupant(worker, "lie", w.config.Clock.Now())
-			assert.Equal(t, []string{"lie"}, fleetIDs(w))
+			w, _, worker := contest(t, Instance{ID: "other", Born: 200})
+			w.ObserveOccupant(worker, "other", w.config.Clock.Now())
+			assert.Equal(t, []string{"other"}, fleetIDs(w))
 			time.Sleep(time.Minute)
-			w.ObserveOccupant(Instance{ID: "lie", Address: occupiedAddress, Born: 200}, "worker", w.config.Clock.Now())
+			w.ObserveOccupant(Instance{ID: "other", Address: occupiedAddress, Born: 200}, "worker", w.config.Clock.Now())
 			assert.Equal(t, []string{"worker"}, fleetIDs(w))
 		})
 	})
@@ -221,7 +221,7 @@
 	})
 	t.Run("an outage of the store", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
-			w, source, _ := contest(t, Instance{ID: "lie", Born: 200})
+			w, source, _ := contest(t, Instance{ID: "other", Born: 200})
 			time.Sleep(4 * time.Second)
 			source.update(func(s *fakeSource) { s.err = errors.New("down") })
 			time.Sleep(time.Minute)
@@ -234,10 +234,10 @@
 }
 
 // TestVersionsOfRefutedInstancesDontCount guards against streams that aren't taken up since an entry
-// that lies names another version.
+// that conflicts with a sound one names another version.
 func TestVersionsOfRefutedInstancesDontCount(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, _, _ := contest(t, Instance{ID: "lie", Born: 200, Version: "v9"})
+		w, _, _ := contest(t, Instance{ID: "other", Born: 200, Version: "v9"})
 		time.Sleep(4*time.Second + versionMemory)
 		version, ok := w.View().Versions.Only("s", w.config.Clock.Now()-versionMemory/2)
 		assert.True(t, ok)
@@ -249,14 +249,14 @@
 // and hides the worker again each time that it is back.
 func TestEntryThatComesAndGoesStaysRefuted(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, source, _ := contest(t, Instance{ID: "lie", Born: 200})
-		var lie Instance
-		source.update(func(s *fakeSource) { lie = s.instances[1] })
-		w.ObserveOccupant(lie, "worker", w.config.Clock.Now())
+		w, source, _ := contest(t, Instance{ID: "other", Born: 200})
+		var other Instance
+		source.update(func(s *fakeSource) { other = s.instances[1] })
+		w.ObserveOccupant(other, "worker", w.config.Clock.Now())
 		for range 5 {
 			source.update(func(s *fakeSource) { s.instances = s.instances[:1] })
 			time.Sleep(2 * time.Second)
-			source.update(func(s *fakeSource) { s.instances = append(s.instances[:1:1], lie) })
+			source.update(func(s *fakeSource) { s.instances = append(s.instances[:1:1], other) })
 			for range 20 {
 				assert.Equal(t, []string{"worker"}, fleetIDs(w))
 				time.Sleep(100 * time.Millisecond)
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -115,7 +115,7 @@
 	require.NoError(w.t, err)
 	odd := oddEntries(string(data))
 	if random.IntN(2) == 0 {
-		odd = lyingEntries(sound)
+		odd = conflictingEntries(sound)
 	}
 	key := bhplatform.Key{Table: "servers", Name: fmt.Sprint("odd-", random.IntN(oddNames))}
 	require.NoError(w.t, w.store.store.Force(key, []byte(odd[random.IntN(len(odd))])))
@@ -165,19 +165,19 @@
 	return odd
 }
 
-// lyingEntries returns entries with all fields that differ from the sound one in what they say.
-func lyingEntries(sound entry) []string {
+// conflictingEntries returns entries with all fields that differ from the sound one in what they say.
+func conflictingEntries(sound entry) []string {
 	draining, ahead, early := sound, sound, sound
 	draining.State = "draining"
 	ahead.Born += time.Hour.Milliseconds()
 	early.Born = 0
-	var lies []string
-	for _, lie := range []entry{sound, draining, ahead, early} {
-		data, err := json.Marshal(lie)
+	var conflicting []string
+	for _, entered := range []entry{sound, draining, ahead, early} {
+		data, err := json.Marshal(entered)
 		if err != nil {
 			panic(err)
 		}
-		lies = append(lies, string(data))
+		conflicting = append(conflicting, string(data))
 	}
-	return lies
+	return conflicting
 }
--- a/soak/slow_store_test.go
+++ b/soak/slow_store_test.go
@@ -34,7 +34,7 @@
 				return running
 			}, 30*time.Second, time.Millisecond)
 			runner.kill()
-			w.judgeLying(ctx)
+			w.judgeStuck(ctx)
 			assert.Empty(t, w.record.finish(rates))
 		})
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -250,7 +250,7 @@
 		w.spoilInCalm(all, seed)
 		w.stopInCalm(all, rand.New(rand.NewPCG(seed, 6)))
 	})
-	jobs.Go(func() { w.judgeLying(all) })
+	jobs.Go(func() { w.judgeStuck(all) })
 	w.recover(seed)
 	w.checkPrompts(all)
 	stopLethal()
--- a/soak/lying_test.go
+++ b/soak/stuck_test.go
@@ -94,24 +94,24 @@
 	k.busyAt = time.Now()
 }
 
-// lying returns the items of the job that aren't listed though nothing works on them.
-func (k *work) lying(job acceptedJob, listed map[string]bool, now time.Time) []string {
+// stuck returns the items of the job that aren't listed though nothing works on them.
+func (k *work) stuck(job acceptedJob, listed map[string]bool, now time.Time) []string {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if now.Sub(k.doneAt) < doneTime || now.Sub(k.busyAt) < idleTime {
 		return nil
 	}
-	var lying []string
+	var stuck []string
 	for _, item := range job.items {
 		switch {
 		case listed[item]:
 		case k.running[item] > 0, now.Sub(k.hadAt[item]) < idleTime:
 			return nil
 		case now.Sub(k.failedAt[item]) >= failTime:
-			lying = append(lying, item)
+			stuck = append(stuck, item)
 		}
 	}
-	return lying
+	return stuck
 }
 
 // floodJobs has one tenant submit bursts of jobs until ctx is done.
@@ -168,9 +168,9 @@
 	}
 }
 
-// judgeLying checks from finishTime after the faults on that each accepted item of an open job is
+// judgeStuck checks from finishTime after the faults on that each accepted item of an open job is
 // listed once, or engines work on it.
-func (w *world) judgeLying(ctx context.Context) {
+func (w *world) judgeStuck(ctx context.Context) {
 	go w.watchEngines(ctx)
 	pause(ctx, finishTime)
 	c := newClient(w, "judge", 1)
@@ -183,12 +183,12 @@
 	for ctx.Err() == nil && len(open) > 0 {
 		for id, job := range open {
 			listed, ended := c.listed(ctx, id, job.tenant)
-			lying := w.record.work.lying(job, listed, time.Now())
+			stuck := w.record.work.stuck(job, listed, time.Now())
 			switch {
 			case ended, !slices.ContainsFunc(job.items, func(item string) bool { return !listed[item] }):
 				delete(open, id)
-			case len(lying) > 0:
-				w.record.broken("job %s of tenant %s: %d items are neither listed nor worked on: %s", id, job.tenant, len(lying), lying[:min(len(lying), maxItemFault)])
+			case len(stuck) > 0:
+				w.record.broken("job %s of tenant %s: %d items are neither listed nor worked on: %s", id, job.tenant, len(stuck), stuck[:min(len(stuck), maxItemFault)])
 				delete(open, id)
 			}
 		}
@@ -246,9 +246,9 @@
 	return items
 }
 
-// TestLyingItemsAreSeen checks that the soak would see an item on which nothing works, and excuses
+// TestStuckItemsAreSeen checks that the soak would see an item on which nothing works, and excuses
 // those of the rule.
-func TestLyingItemsAreSeen(t *testing.T) {
+func TestStuckItemsAreSeen(t *testing.T) {
 	now := time.Now()
 	job := acceptedJob{items: []string{"j.0", "j.1"}}
 	for name, c := range map[string]struct {
@@ -272,7 +272,7 @@
 		for _, item := range c.listed {
 			listed[item] = true
 		}
-		assert.Len(t, k.lying(job, listed, now), c.want, name)
+		assert.Len(t, k.stuck(job, listed, now), c.want, name)
 	}
 	assert.Equal(t, []string{"j.0", "j.2"}, itemsThatRun("j", []string{"item a", "lethal", "item b"}))
 }
