Upstreams: another address under a worker's ID leaves no mark

What callers would see: a sound worker that gets no requests for 5 s after another writer had entered another worker's address under its ID for a heartbeat. Cause: the answer of the other worker refuted the worker's start, whatever address its record names. Change: a start is known by its address, too.

Evidence: TestRecordWithAnotherAddressLeavesNoMark fails without it.

--- a/bhwatch/occupants.go
+++ b/bhwatch/occupants.go
@@ -43,6 +43,7 @@
 
 // start is what is known of a start of a listed instance. Times are of the watcher's clock.
 type start struct {
+	address        string
 	born, sequence int64
 	// seenAt is when the start was last listed.
 	seenAt time.Duration
@@ -57,7 +58,7 @@
 
 // newStart returns a start that is listed for the first time.
 func newStart(instance Instance, now time.Duration) *start {
-	return &start{born: instance.Born, listedAt: now, wasReady: !instance.Draining}
+	return &start{address: instance.Address, born: instance.Born, listedAt: now, wasReady: !instance.Draining}
 }
 
 // change notes that the record differs from before, so that the heartbeats of others show nothing.
@@ -81,7 +82,7 @@
 	old.ColdUntil = listed.ColdUntil
 	known := t.starts[listed.ID]
 	switch {
-	case known == nil || known.born != listed.Born || listed.Born == 0 && listed.Sequence < known.sequence:
+	case known == nil || known.address != listed.Address || known.born != listed.Born || listed.Born == 0 && listed.Sequence < known.sequence:
 		known = newStart(listed, now)
 		t.starts[listed.ID] = known
 	case old != listed:
--- a/bhwatch/occupants_test.go
+++ b/bhwatch/occupants_test.go
@@ -286,3 +286,26 @@
 		assert.ElementsMatch(t, []string{"a", "b"}, instanceIDs(fleet["s"]))
 	}
 }
+
+// TestRecordWithAnotherAddressLeavesNoMark guards against a sound worker that gets no requests for a
+// while, since another writer had entered another worker's address under its ID.
+func TestRecordWithAnotherAddressLeavesNoMark(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const own = "10.0.0.2:80"
+		w, source, _ := contest(t, Instance{ID: "second", Address: own, Born: 100})
+		enter := func(address string) (entered Instance) {
+			source.update(func(s *fakeSource) {
+				s.instances = append([]Instance(nil), s.instances...)
+				s.instances[1].Address = address
+				entered = s.instances[1]
+			})
+			time.Sleep(DefaultInterval)
+			synctest.Wait()
+			return entered
+		}
+		w.ObserveOccupant(enter(occupiedAddress), "worker", w.config.Clock.Now())
+		assert.Equal(t, []string{"worker"}, fleetIDs(w))
+		enter(own)
+		assert.ElementsMatch(t, []string{"worker", "second"}, fleetIDs(w))
+	})
+}
