--- a/bhjob/takeover_test.go
+++ b/bhjob/takeover_test.go
@@ -19,7 +19,7 @@
 // TestClaimsOfADeadRunnerAreTakenOverWhileTheStoreIsSlow guards against items whose runner is gone and
 // that no other one takes, since each call of the store takes long and other items keep it busy.
 func TestClaimsOfADeadRunnerAreTakenOverWhileTheStoreIsSlow(t *testing.T) {
-	for _, latency := range []time.Duration{4 * time.Millisecond, 250 * time.Millisecond} {
+	for _, latency := range []time.Duration{4 * time.Millisecond, 250 * time.Millisecond, 600 * time.Millisecond} {
 		t.Run(latency.String(), func(t *testing.T) {
 			t.Parallel()
 			store := bhstand.NewStore(bhstand.StoreConfig{})
