Log: item.waiting tells since when an item is claimed, and how long it is withheld

item.waiting has 'claimed', the time since this runner first saw the claim, and 'withheld', the time until the next trial. TestLogTellsWhyAnItemWaits has a case for each.

--- a/bhjob/explain.go
+++ b/bhjob/explain.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/baobabhaven/baobabhaven/bhcap"
+	"github.com/baobabhaven/baobabhaven/bhcode"
 	"github.com/baobabhaven/baobabhaven/bhlog"
 )
 
@@ -24,6 +25,28 @@
 	at  time.Time
 }
 
+// seenClaim is a claim of an item, and when this runner first saw it.
+type seenClaim struct {
+	holder string
+	since  time.Time
+}
+
+// noteClaims remembers since when the items of the jobs have been claimed. The caller holds r.mu.
+func (r *Runner) noteClaims(jobs []*Job) {
+	for _, job := range jobs {
+		for i := range job.Items {
+			state := &job.Items[i]
+			ref := refOf(job, state.ID)
+			switch {
+			case state.Status != Claimed:
+				delete(r.seenClaims, ref)
+			case r.seenClaims[ref].holder != state.Holder:
+				r.seenClaims[ref] = seenClaim{holder: state.Holder, since: time.Now()}
+			}
+		}
+	}
+}
+
 // note remembers how a run of the item ended. The caller holds r.mu.
 func (r *Runner) note(item itemRef, end string) {
 	if len(r.lastRuns) < maxHeldItems {
@@ -56,9 +79,15 @@
 			if last.end != "" {
 				pairs = append(pairs, "last", last.end, "ended", time.Since(last.at))
 			}
+			if state.Status == Claimed {
+				pairs = append(pairs, "claimed", time.Since(r.seenClaims[ref].since))
+			}
 			if state.Status == Claimed && state.Holder != r.config.Holder {
 				pairs = append(pairs, "heartbeat", r.heartbeats.age(state.Holder))
 			}
+			if err := r.withheld(ref); err != nil {
+				pairs = append(pairs, "withheld", bhcode.From(err).RetryAfter)
+			}
 			bhlog.Event(r.config.Logger, "item.waiting", pairs...)
 		}
 	}
@@ -108,6 +137,11 @@
 			delete(r.lastRuns, item)
 		}
 	}
+	for item := range r.seenClaims {
+		if finished(item) {
+			delete(r.seenClaims, item)
+		}
+	}
 	for item := range r.unloadable {
 		if finished(item) {
 			delete(r.unloadable, item)
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -76,7 +76,17 @@
 func (r *Runner) isHeld(item itemRef) bool {
 	held, ok := r.held[item]
 	now := time.Now()
-	return ok && now.Before(held.traits.Until) && (now.Before(held.until) || r.config.Crashes.Withheld(held.traits) != nil)
+	return ok && now.Before(held.traits.Until) && (now.Before(held.until) || r.withheld(item) != nil)
+}
+
+// withheld returns the error Withheld, with the time of the next trial, if the item was held here
+// and may not run yet. The caller holds r.mu.
+func (r *Runner) withheld(item itemRef) error {
+	held, ok := r.held[item]
+	if !ok {
+		return nil
+	}
+	return r.config.Crashes.Withheld(held.traits)
 }
 
 // traits returns the traits of the item's content and prompt. The caller holds the runner's
--- a/bhjob/runner.go
+++ b/bhjob/runner.go
@@ -150,10 +150,11 @@
 	claiming string
 	// unloadable holds the items that couldn't be loaded at their last claim.
 	unloadable map[itemRef]loadFailure
-	// lastRuns and explained are for the log: how the last runs of items ended, and when the log
-	// told why an item waits.
-	lastRuns  map[itemRef]lastRun
-	explained map[itemRef]time.Time
+	// lastRuns, seenClaims and explained are for the log: how the last runs of items ended, the
+	// present claims, and when the log told why an item waits.
+	lastRuns   map[itemRef]lastRun
+	seenClaims map[itemRef]seenClaim
+	explained  map[itemRef]time.Time
 	// slots is the number of requests that the engine runs at once; zero if the
 	// engine takes none.
 	slots int
@@ -199,6 +200,7 @@
 		held:        make(map[itemRef]heldItem),
 		unloadable:  make(map[itemRef]loadFailure),
 		lastRuns:    make(map[itemRef]lastRun),
+		seenClaims:  make(map[itemRef]seenClaim),
 		explained:   make(map[itemRef]time.Time),
 		jobs:        make(map[string]*jobList),
 	}
@@ -232,6 +234,7 @@
 	r.jobs[part], r.clockOffset = list, now-sent
 	r.runTimes.setOpen(jobs)
 	r.forgetFinished(part, open)
+	r.noteClaims(jobs)
 	r.explainWaiting(jobs, now)
 	for _, run := range r.runs {
 		if partition(run.job.Account) != part || run.phase == ending {
