Items: one that is answered is cleared, and a later end of its engine is no failed trial

Cause: items under which engines ended run as trials, and only a complete answer cleared them. Each end of the engine until then counted as a failed trial, whatever it was due to, and after three the item is withheld until the evidence lapses, with all items that share its prompt or a part.

Evidence: TestSoundItemsAreRunAfterAStorm (paused time; engines end every 3 s on average for 30 s).

Requests that crash engines do so before their first event; one that does so at a later event does it at once when it is resumed there, and counts.

--- a/bhevidence/items_test.go
+++ b/bhevidence/items_test.go
@@ -24,10 +24,14 @@
 	// tryWithin is the time without a failed run after which an open item counts as left lying.
 	tryWithin = 20 * time.Second
 
-	itemSlots     = 4
-	itemRunTime   = 3 * time.Second
-	engineAway    = 3 * time.Second
-	itemHandover  = 2500 * time.Millisecond
+	itemSlots   = 4
+	itemRunTime = 3 * time.Second
+	// itemEventAt is when an event of a sound item arrives by which it is known to be one.
+	itemEventAt  = answeringTime + 50*time.Millisecond
+	engineAway   = 3 * time.Second
+	itemHandover = 2500 * time.Millisecond
+	// finishTime is how long after the faults all items are done, or engines work on them.
+	finishTime    = 18 * time.Second
 	claimInterval = 250 * time.Millisecond
 )
 
@@ -42,6 +46,10 @@
 	trouble func(f *testFleet)
 	// soundPrompts is the number of prompts that sound items have; zero gives each its own.
 	soundPrompts int
+	// soundParts is the number of parts of which each sound item's prompt has one; zero for none.
+	soundParts int
+	// storm is how long each engine ends for another reason after engineLife on average.
+	storm, engineLife time.Duration
 	// bursts are the times at which engines end for another reason, one in three.
 	bursts []time.Duration
 	// canRest says that the trials that are allowed suffice to try each item in time.
@@ -100,6 +108,9 @@
 	late, ends int
 	// lying is the time for which crashing items were open without a failed run lately.
 	lying time.Duration
+	// soundLying is the number of sound items that neither were done nor had run lately
+	// finishTime after the storm.
+	soundLying int
 	// slowest is the time that the slowest sound item took.
 	slowest time.Duration
 }
@@ -140,6 +151,10 @@
 			day.trouble(f.fleet)
 		})
 	}
+	if day.storm > 0 {
+		f.loops.Go(f.storm)
+		time.AfterFunc(day.storm+finishTime, f.countSoundLying)
+	}
 	for _, at := range day.bursts {
 		time.AfterFunc(at, f.burst)
 	}
@@ -154,8 +169,12 @@
 
 // accept adds the items: crashing ones, and sound ones all the time.
 func (f *itemFleet) accept() {
-	add := func(at time.Duration, name, prompt string, crashes bool) {
-		traits := bhcrash.Content{Account: name, Target: "/" + name, Prompt: prompt}.Traits()
+	add := func(at time.Duration, name, prompt string, crashes bool, parts ...string) {
+		account := name
+		if len(parts) > 0 {
+			account = "zoo"
+		}
+		traits := bhcrash.Content{Account: account, Target: "/" + name, Prompt: prompt, Parts: parts}.Traits()
 		if f.spread {
 			traits.Until = f.began.Add(at + itemRetention)
 		}
@@ -171,7 +190,11 @@
 		if f.day.soundPrompts > 0 {
 			prompt = i % f.day.soundPrompts
 		}
-		add(time.Duration(i)*200*time.Millisecond, fmt.Sprint("sound", i), fmt.Sprint("sound", prompt), false)
+		var parts []string
+		if f.day.soundParts > 0 {
+			parts = []string{fmt.Sprint("part", i%f.day.soundParts)}
+		}
+		add(time.Duration(i)*200*time.Millisecond, fmt.Sprint("sound", i), fmt.Sprint("sound", prompt), false, parts...)
 	}
 }
 
@@ -242,7 +265,12 @@
 		return
 	}
 	sentAt := time.Now()
-	if f.send(number, engine, item) {
+	answered := func() {
+		if registry.Answered(item.traits, sentAt) {
+			permit = nil
+		}
+	}
+	if f.send(number, engine, item, answered) {
 		registry.Whole(item.traits)
 		return
 	}
@@ -250,8 +278,8 @@
 	free(itemHandover)
 }
 
-// send reports whether the item was done before the engine ended.
-func (f *itemFleet) send(number int, engine *modelEngine, item *modelItem) bool {
+// send reports whether the item was done before the engine ended. It calls answered for an event.
+func (f *itemFleet) send(number int, engine *modelEngine, item *modelItem, answered func()) bool {
 	f.mu.Lock()
 	began, runTime := time.Now(), itemRunTime-item.progress
 	if item.crashes {
@@ -263,10 +291,15 @@
 	}
 	f.mu.Unlock()
 	ended := false
-	select {
-	case <-engine.ended:
-		ended = true
-	case <-time.After(runTime):
+	for finished, event := time.After(runTime), time.After(itemEventAt); finished != nil && !ended; {
+		select {
+		case <-engine.ended:
+			ended = true
+		case <-event:
+			answered()
+		case <-finished:
+			finished = nil
+		}
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -309,6 +342,34 @@
 	}
 }
 
+// storm ends engines until the storm is over.
+func (f *itemFleet) storm() {
+	const step = 100 * time.Millisecond
+	for time.Since(f.began) < f.day.storm {
+		time.Sleep(step)
+		f.mu.Lock()
+		for number, engine := range f.engines {
+			if engine != nil && f.random.Float64() < step.Seconds()/f.day.engineLife.Seconds() {
+				f.end(number, engine)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
+// countSoundLying counts the sound items that are open though nothing works on them. Those that
+// may run again soon have failed lately.
+func (f *itemFleet) countSoundLying() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, item := range f.items {
+		if !item.crashes && !item.done && !item.free.IsZero() && now.After(item.accepted.Add(tryWithin)) && now.Sub(item.failedAt) > tryWithin {
+			f.figures.soundLying++
+		}
+	}
+}
+
 // look adds up for how long crashing items have been left lying.
 func (f *itemFleet) look() {
 	f.mu.Lock()
--- a/bhevidence/registry.go
+++ b/bhevidence/registry.go
@@ -29,6 +29,9 @@
 	// restartMargin is how much later than the end of an upstream a request must have
 	// been sent to have run at its next start. Reports of the end differ by less.
 	restartMargin = 50 * time.Millisecond
+	// answeringTime is how long after its send an event must arrive to clear a request. What crashes
+	// upstreams does so when it begins to run, before its first event or right after.
+	answeringTime = 250 * time.Millisecond
 )
 
 // Peers gives access to the other gateways and to the runners.
@@ -250,6 +253,19 @@
 	}
 }
 
+// Answered reports that an event arrived for a request with the traits that was sent at the time,
+// and that the request can be resumed after it. It clears the traits and returns true once the
+// request has run for longer than one that crashes upstreams: a later end of the upstream isn't
+// the outcome of its trial. A request that ends each upstream at the same later event does so soon
+// once it is resumed there, which isn't cleared.
+func (r *Registry) Answered(traits bhcrash.Traits, sentAt time.Time) bool {
+	if time.Since(sentAt) < answeringTime {
+		return false
+	}
+	r.Whole(traits)
+	return true
+}
+
 // Close waits for the probes in flight and for trials that are given back.
 func (r *Registry) Close() error {
 	r.tasks.Wait()
--- a/bhjob/cut_head_test.go
+++ b/bhjob/cut_head_test.go
@@ -52,7 +52,7 @@
 	require.True(t, ok)
 	send := func(item string) (*itemRun, error) {
 		run := &itemRun{runner: r.runner, job: &Job{Account: "zoo", Host: "one.example"}, item: Item{ID: item, Target: "/drafts/x"}}
-		return run, run.send(t.Context(), instance)
+		return run, run.send(t.Context(), instance, func() {})
 	}
 	for name, before := range map[string]string{"fresh": "", "reused": "", "after an interim head": "HTTP/1.1 103 Early Hints\r\n\r\n"} {
 		for _, framing := range []bhforward.Framing{bhforward.FramedByLength, bhforward.FramedByChunks, bhforward.FramedByClose} {
--- a/bhjob/early_reset_test.go
+++ b/bhjob/early_reset_test.go
@@ -33,7 +33,7 @@
 	instance := bhwatch.Instance{ID: "i-1", Service: "llm", Address: early.Listener.Addr().String()}
 	for range 20 {
 		run := &itemRun{runner: r.runner, job: &Job{Account: "zoo", Host: "one.example"}, item: Item{ID: "j-0", Target: "/drafts/x", Body: make([]byte, 6<<20)}}
-		err := run.send(t.Context(), instance)
+		err := run.send(t.Context(), instance, func() {})
 		require.Error(t, err, "%q is only a part", run.output())
 		assert.NotErrorIs(t, err, errFailed, "no failure counts")
 		assert.NotErrorIs(t, err, errRejected)
--- a/bhjob/held.go
+++ b/bhjob/held.go
@@ -42,6 +42,9 @@
 	Refused(upstream bhcrash.Source)
 	// Whole reports that an item with the traits completed.
 	Whole(traits bhcrash.Traits)
+	// Answered reports that events arrive for an item with the traits that was sent at the time. It
+	// returns true if that clears the traits.
+	Answered(traits bhcrash.Traits, sentAt time.Time) bool
 	// Suspected reports whether engines ended more than once under the content or the
 	// prompt of the traits.
 	Suspected(traits bhcrash.Traits) bool
@@ -130,7 +133,11 @@
 	bhlog.Event(ir.runner.config.Logger, "item.sent", "item", ir.item.ID, "job", ir.job.ID, "account", ir.job.Account, "upstream", instance.ID,
 		"target", ir.item.Target, "body", bodyDigest(ir.item.Body), "content", traits.Content, "prompt", traits.Prompt, "parts", strings.Join(traits.Parts, ","))
 	sentAt := time.Now()
-	err = ir.send(ctx, instance)
+	cleared := false
+	err = ir.send(ctx, instance, func() { cleared = cleared || crashes.Answered(traits, sentAt) })
+	if cleared {
+		permit = nil
+	}
 	loss := bhevidence.Loss{
 		Traits: traits, Upstream: bhcrash.Source{Host: instance.ID, Incarnation: uint64(instance.Born)}, Address: instance.Address,
 		SentAt: sentAt, Permit: permit,
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -186,9 +186,9 @@
 	delete(ir.runner.runs, ir.ref())
 }
 
-// send makes one request for the item to the engine and receives its events. A nil
-// error means that the output is complete.
-func (ir *itemRun) send(ctx context.Context, instance bhwatch.Instance) error {
+// send makes one request for the item to the engine and receives its events. It calls answered
+// for those after which the item can be resumed. A nil error means that the output is complete.
+func (ir *itemRun) send(ctx context.Context, instance bhwatch.Instance, answered func()) error {
 	ir.bindOutput(instance)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -226,7 +226,7 @@
 	if err := bhevent.CheckHead(answer.Status, answer.Header); err != nil {
 		return errors.WithMessage(err, "the engine's answer")
 	}
-	return ir.receiveEvents(answer, stall)
+	return ir.receiveEvents(answer, stall, answered)
 }
 
 // targetInstance returns the engine's instance. The error is errNotServed if the route of
--- a/bhjob/output.go
+++ b/bhjob/output.go
@@ -79,7 +79,7 @@
 // receiveEvents receives events until the stream ends. It restarts the stall
 // timer whenever events arrive. An event that isn't UTF-8 ends the stream as one that broke
 // off: clients get the output as JSON text, which can't hold it.
-func (ir *itemRun) receiveEvents(answer *bhforward.Answer, stall *time.Timer) error {
+func (ir *itemRun) receiveEvents(answer *bhforward.Answer, stall *time.Timer, answered func()) error {
 	progress := &bhevent.Progress{Last: ir.checkpoint.LastEvent}
 	if progress.Last != "" {
 		progress.Resume()
@@ -95,6 +95,9 @@
 		if failure := ir.addEvents(events, progress); failure != nil {
 			return failure
 		}
+		if len(events) > 0 && progress.Resumable() {
+			answered()
+		}
 		switch {
 		case err == io.EOF:
 			return nil
