Forwarding: a long upload is no silence of the upstream

Cause: the timer that ends an attempt at a silent upstream, and that of a request for an item, runs while the body is still being sent. Each cut attempt counts as a failure of the upstream, which rests, so that the last attempt finds none.

Change: a request tells of its progress while the connection takes its body, in parts of 64 KiB, and that restarts the timers. The kernel's buffer for a long upload is bounded, so that what counts as taken has left. An upstream that takes nothing is cut as before.

--- a/bhforward/exchange.go
+++ b/bhforward/exchange.go
@@ -10,6 +10,7 @@
 	"net/textproto"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -25,6 +26,10 @@
 // doesn't block.
 const maxInlineWrite = 8 << 10
 
+// uploadWriteBuffer is the size of the kernel's buffer, in bytes, for what an upstream hasn't taken of
+// a long body. With the kernel's default, megabytes count as taken that are still on their way.
+const uploadWriteBuffer = 128 << 10
+
 const (
 	// maxSkipped bounds the answers to earlier requests that are skipped on a reused
 	// connection. Together with the head they have maxHeadBytes at most.
@@ -78,6 +83,9 @@
 	// demands a new one. The upstream may close an idle connection before it reads
 	// the request.
 	MaxRest time.Duration
+	// Progress is called whenever the connection has taken a part of a long body, until Exchange
+	// returns. It may be nil.
+	Progress func()
 }
 
 // idHash returns a hash of the request's ID.
@@ -165,21 +173,44 @@
 	return answer, nil
 }
 
+// upload tells of the progress of sending a request until it is ended.
+type upload struct {
+	mu       sync.Mutex
+	progress func()
+}
+
+func (u *upload) advance() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.progress != nil {
+		u.progress()
+	}
+}
+
+func (u *upload) end() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.progress = nil
+}
+
 // roundTrip sends the request on c, which was idle for rested before, and reads the
 // head of the answer. On a reused connection it skips answers to earlier requests.
 func (p *Pool) roundTrip(c *conn, request *Request, rested time.Duration) (*Answer, error) {
 	writeErr := make(chan error, 1)
 	head := encodeHead(request)
+	upload := &upload{progress: request.Progress}
 	send := func() {
-		_, err := c.writeAll(&net.Buffers{head, request.Body})
+		_, err := c.writeAll(&net.Buffers{head, request.Body}, upload.advance)
 		writeErr <- err
 	}
 	if len(head)+len(request.Body) <= maxInlineWrite {
 		send()
 	} else {
+		c.boundWriteBuffer(uploadWriteBuffer)
 		go send() // the upstream may answer before it has read the whole request
 	}
 	response, skipped, err := readAnswer(c, request, rested) //nolint:bodyclose // Answer.Close ends the connection that the body is read from
+	upload.end()
 	if err != nil {
 		return nil, err
 	}
--- a/bhforward/reset.go
+++ b/bhforward/reset.go
@@ -8,6 +8,9 @@
 	"time"
 )
 
+// maxWrite is the most that is written at once, in bytes, so that a long upload shows its progress.
+const maxWrite = 64 << 10
+
 // pendingWriteWait bounds the wait for a write that is under way when a read sees the end of the
 // connection. One that has taken a reset returns at once.
 const pendingWriteWait = time.Second
@@ -42,16 +45,23 @@
 
 // Write implements net.Conn.
 func (c *resetConn) Write(data []byte) (int, error) {
-	return c.writeAll(&net.Buffers{data})
+	return c.writeAll(&net.Buffers{data}, func() {})
 }
 
-// writeAll writes the buffers.
-func (c *resetConn) writeAll(data *net.Buffers) (int, error) {
+// writeAll writes the buffers, and calls progress for each part that the connection has taken.
+func (c *resetConn) writeAll(data *net.Buffers, progress func()) (int, error) {
 	done := make(chan struct{})
 	c.mu.Lock()
 	c.pending = done
 	c.mu.Unlock()
-	n, err := data.WriteTo(c.Conn)
+	var n int64
+	var err error
+	for part := cutFront(data, maxWrite); len(part) > 0 && err == nil; part = cutFront(data, maxWrite) {
+		var written int64
+		written, err = part.WriteTo(c.Conn)
+		n += written
+		progress()
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.writeErr == nil {
@@ -62,6 +72,29 @@
 	return int(n), err
 }
 
+// boundWriteBuffer sets the size of the kernel's buffer for what was written and not yet taken, in
+// bytes. A connection that isn't TCP's keeps its own.
+func (c *resetConn) boundWriteBuffer(size int) {
+	if conn, ok := c.Conn.(*net.TCPConn); ok {
+		_ = conn.SetWriteBuffer(size) // without it the kernel's default holds
+	}
+}
+
+// cutFront removes up to limit bytes from the front of the buffers and returns them.
+func cutFront(data *net.Buffers, limit int) net.Buffers {
+	var front net.Buffers
+	for len(*data) > 0 && limit > 0 {
+		first := (*data)[0]
+		if len(first) > limit {
+			(*data)[0] = first[limit:]
+			return append(front, first[:limit])
+		}
+		front, limit = append(front, first), limit-len(first)
+		*data = (*data)[1:]
+	}
+	return front
+}
+
 // Read implements net.Conn.
 func (c *resetConn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
--- a/bhgate/engine_watch.go
+++ b/bhgate/engine_watch.go
@@ -18,9 +18,10 @@
 // engineWatch reports one fault of an engine to its runner: a request that failed
 // there, or got no first event in time. A nil engineWatch does nothing.
 type engineWatch struct {
-	timer  *time.Timer
-	report func()
-	once   sync.Once
+	timer   *time.Timer
+	overdue time.Duration
+	report  func()
+	once    sync.Once
 }
 
 // watchEngine starts to watch the engine beside the runner for the call's next
@@ -31,11 +32,18 @@
 	if c.route.LatencyObjective <= 0 {
 		overdue = defaultOverdue + c.choice.wait
 	}
-	watch := &engineWatch{report: func() { c.gate.config.EngineLoads.Fault(runner) }}
+	watch := &engineWatch{overdue: overdue, report: func() { c.gate.config.EngineLoads.Fault(runner) }}
 	watch.timer = time.AfterFunc(overdue, watch.failed)
 	c.engineWatch = watch
 }
 
+// progressed restarts the time to the first event, as the engine is still taking the request.
+func (w *engineWatch) progressed() {
+	if w != nil {
+		w.timer.Reset(w.overdue)
+	}
+}
+
 // failed reports the fault, unless one was reported or the engine answered.
 func (w *engineWatch) failed() {
 	if w != nil {
--- a/bhgate/forward.go
+++ b/bhgate/forward.go
@@ -246,8 +246,12 @@
 // after that event. The caller closes the attempt.
 func (c *call) send(ctx context.Context, instance bhwatch.Instance, lastEventID string) (*attempt, error) {
 	ctx, cancel := context.WithCancel(ctx)
-	timer := c.newSilenceTimer(cancel)
+	timer, watch := c.newSilenceTimer(cancel), c.engineWatch
 	request := c.upstreamRequest(instance, lastEventID)
+	request.Progress = func() { // an upstream that takes the body isn't silent
+		timer.reset()
+		watch.progressed()
+	}
 	sentAt, asked := time.Now(), c.gate.config.Clock.Now()
 	answer, err := c.gate.config.Pool.Exchange(ctx, instance.Address, request)
 	ran := bhcode.RanYes
--- a/bhgate/silence_timer.go
+++ b/bhgate/silence_timer.go
@@ -7,8 +7,8 @@
 	"github.com/baobabhaven/baobabhaven/bhpolicy"
 )
 
-// silenceTimer cancels an attempt whose upstream has sent nothing for the
-// timeout. A nil silenceTimer never fires.
+// silenceTimer cancels an attempt whose upstream has neither sent anything nor taken a part of the
+// request for the timeout. A nil silenceTimer never fires.
 type silenceTimer struct {
 	timer   *time.Timer
 	timeout time.Duration
@@ -29,7 +29,7 @@
 	return &silenceTimer{timer: time.AfterFunc(timeout, cancel), timeout: timeout}
 }
 
-// reset restarts the timeout after the upstream sent data.
+// reset restarts the timeout after the upstream sent or took data.
 func (s *silenceTimer) reset() {
 	if s != nil {
 		s.timer.Reset(s.timeout)
--- a/bhjob/itemrun.go
+++ b/bhjob/itemrun.go
@@ -195,7 +195,9 @@
 	stall := time.AfterFunc(stallTimeout, cancel)
 	defer stall.Stop()
 	sentAt, asked := time.Now(), ir.runner.config.Clock.Now()
-	answer, err := ir.runner.config.Pool.Exchange(ctx, instance.Address, ir.newRequest(instance.ID))
+	request := ir.newRequest(instance.ID)
+	request.Progress = func() { stall.Reset(stallTimeout) }
+	answer, err := ir.runner.config.Pool.Exchange(ctx, instance.Address, request)
 	if err != nil {
 		return err
 	}
