--- a/bhevidence/items_test.go
+++ b/bhevidence/items_test.go
@@ -24,6 +24,8 @@
 	// tryWithin is the time without a failed run after which an open item counts as left lying.
 	tryWithin = 20 * time.Second
 
+	// crashTime is how long a crashing item runs at least before its engine ends.
+	crashTime   = 100 * time.Millisecond
 	itemSlots   = 4
 	itemRunTime = 3 * time.Second
 	// itemEventAt is when an event of a sound item arrives by which it is known to be one.
@@ -42,6 +44,9 @@
 	// accepted one after the other, each apart after the one before.
 	prompts, items int
 	apart          time.Duration
+	// crashAfter is how much of a crashing item runs before its engine ends, if that is more than
+	// crashTime.
+	crashAfter time.Duration
 	// trouble strikes at the fifteenth second.
 	trouble func(f *testFleet)
 	// soundPrompts is the number of prompts that sound items have; zero gives each its own.
@@ -283,7 +288,7 @@
 	f.mu.Lock()
 	began, runTime := time.Now(), itemRunTime-item.progress
 	if item.crashes {
-		runTime = 100 * time.Millisecond
+		runTime = max(crashTime, f.day.crashAfter-item.progress)
 		if ends := f.ended[item.prompt]; len(ends) >= allowedRetries && began.After(ends[2].Add(window)) {
 			f.late[item.prompt]++
 			f.figures.late = max(f.figures.late, f.late[item.prompt])
--- a/bhevidence/storm_test.go
+++ b/bhevidence/storm_test.go
@@ -44,3 +44,17 @@
 		})
 	}
 }
+
+// lateItemDays are days with items that end engines in the middle of their output.
+var lateItemDays = []itemDay{
+	{name: "one late prompt", prompts: 1, items: 1, crashAfter: 1500 * time.Millisecond, canRest: true},
+	{name: "one late prompt in five items", prompts: 1, items: 5, apart: 4 * time.Second, crashAfter: 1500 * time.Millisecond},
+}
+
+// TestLateCrashingPromptIsNotSentForever guards against a prompt that ends engines in the middle of its
+// output, and is sent again and again because each item with it is answered first.
+func TestLateCrashingPromptIsNotSentForever(t *testing.T) {
+	for _, day := range lateItemDays {
+		t.Run(day.name, func(t *testing.T) { measureItems(t, []itemDay{day}) })
+	}
+}
