--- a/review/_stand3/store.go
+++ b/review/_stand3/store.go
@@ -11,6 +11,14 @@
 	"time"
 )
 
+const (
+	// answerTime is that of a call. transactionTime is transactionMs, and that of partitionWritesS: a part handles
+	// transactions one after another, and refuses further ones while more than maxWaiting of them is waiting.
+	answerTime      = 4 * time.Millisecond
+	transactionTime = 5 * time.Millisecond
+	maxWaiting      = time.Second
+)
+
 // rowKey names a row of the store.
 type rowKey struct{ table, part, key string }
 
@@ -30,6 +38,10 @@
 	// have the connection reset, with or without carrying out the call by itself.
 	Intercept func(r *http.Request) bool
 
+	partMu sync.Mutex
+	// free holds, by part, when its present transactions are done.
+	free map[string]time.Time
+
 	mu      sync.Mutex
 	rows    map[rowKey]storeRow
 	blobs   map[string][]byte
@@ -39,7 +51,7 @@
 
 // NewStore returns an empty store.
 func NewStore() *Store {
-	return &Store{rows: make(map[rowKey]storeRow), blobs: make(map[string][]byte), started: time.Now()}
+	return &Store{free: make(map[string]time.Time), rows: make(map[rowKey]storeRow), blobs: make(map[string][]byte), started: time.Now()}
 }
 
 // Put writes a row as the operator or a worker does, and returns its version.
@@ -83,7 +95,7 @@
 	if s.Intercept != nil && !s.Intercept(r) {
 		panic(http.ErrAbortHandler)
 	}
-	time.Sleep(4 * time.Millisecond)
+	time.Sleep(answerTime)
 	switch path := r.URL.Path; {
 	case path == "/rows-tx" && r.Method == http.MethodPost:
 		s.transact(w, r)
@@ -126,6 +138,10 @@
 		reply(w, http.StatusBadRequest, map[string]any{})
 		return
 	}
+	if len(call.Expected)+len(call.Writes)+len(call.Deletes) == 0 {
+		reply(w, http.StatusOK, rowsReply{Rows: []storeRow{}, NowMs: s.nowMs()})
+		return
+	}
 	all := append(append(append([]storeRow{}, call.Expected...), call.Writes...), call.Deletes...)
 	for _, row := range all {
 		if row.Part != all[0].Part || len(row.Key) > 200 || len(row.Value) > 65536 {
@@ -139,6 +155,10 @@
 			return
 		}
 	}
+	if !s.await(all[0].Part) {
+		reply(w, http.StatusTooManyRequests, map[string]any{})
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	holds := true
@@ -165,6 +185,26 @@
 	reply(w, http.StatusOK, rowsReply{Rows: []storeRow{}, Version: s.version, NowMs: s.nowMs()})
 }
 
+// await waits until the part has handled the transactions before, and this one. It reports false if more than
+// maxWaiting of them is waiting.
+func (s *Store) await(part string) bool {
+	s.partMu.Lock()
+	now := time.Now()
+	begin := s.free[part]
+	if begin.Before(now) {
+		begin = now
+	}
+	if begin.Sub(now) > maxWaiting {
+		s.partMu.Unlock()
+		return false
+	}
+	end := begin.Add(transactionTime)
+	s.free[part] = end
+	s.partMu.Unlock()
+	time.Sleep(time.Until(end))
+	return true
+}
+
 func (s *Store) get(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	limit, _ := strconv.Atoi(query.Get("limit"))
