--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -14,12 +14,11 @@
 
 // cases returns whether the rule of each case was broken.
 var cases = map[string]func(f *Fleet, trouble bool) (bool, error){
-	"starve":  starve,
-	"contend": contend,
-	"drain":   drain,
-	"ended":   ended,
-	"gone":    gone,
-	"mass":    mass,
+	"starve": starve,
+	"drain":  drain,
+	"ended":  ended,
+	"gone":   gone,
+	"mass":   mass,
 }
 
 func main() {
