--- a/review/_stand3/main.go
+++ b/review/_stand3/main.go
@@ -10,6 +10,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 // cases returns whether the rule of each case was broken.
@@ -36,6 +38,13 @@
 		return 2
 	}
 	defer f.Close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		f.Close()
+		os.Exit(2)
+	}()
 	broken, err := cases[name](f, os.Getenv("TROUBLE") != "0")
 	switch {
 	case err != nil:
